--- /dev/null
+++ b/cmd/crank-control/main.go
@@ -0,0 +1,22 @@
+// Crank-control serves the operators' API and plans, while it holds the planner lease.
+package main
+
+import (
+	"context"
+
+	"github.com/crankridge/crankridge/src/control"
+	"github.com/crankridge/crankridge/src/process"
+	"github.com/crankridge/crankridge/src/settings"
+)
+
+func main() {
+	process.Main("crank-control", "Crank-control serves the operators' API and plans, while it holds the planner lease.", settings.LoadControl, run)
+}
+
+func run(ctx context.Context, set settings.Control) error {
+	p, err := control.New(set)
+	if err != nil {
+		return err
+	}
+	return p.Run(ctx)
+}
--- /dev/null
+++ b/src/caller/call.go
@@ -0,0 +1,105 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"github.com/crankridge/crankridge/src/catalog"
+	"github.com/crankridge/crankridge/src/request"
+	"github.com/crankridge/crankridge/src/serve"
+)
+
+// serveCall passes a call to a plain service.
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request, cust catalog.Resource) {
+	name := mux.Vars(r)["service"]
+	svc, ok := s.coord.Catalog().Services[name]
+	if !ok {
+		refuse(w, http.StatusNotFound, "service_not_found", "there is no service "+name)
+		return
+	}
+	body, ok := s.readBody(w, r)
+	if !ok {
+		return
+	}
+	a, ok := s.ask(w, r, cust, body, svc.Service.Repeatable)
+	if !ok {
+		return
+	}
+	path := strings.TrimPrefix(r.URL.RequestURI(), "/v1/services/"+name)
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	a.Call = &serve.Call{Service: name, Method: r.Method, Path: path, Header: r.Header.Clone(), Body: body}
+	f, refusal := s.coord.Begin(a)
+	if refusal != nil {
+		writeAnswerError(w, *refusal)
+		return
+	}
+	defer f.Hold(s.coord.Now)()
+	if answer := wait(r, f); answer != nil {
+		writeCall(w, *answer)
+	}
+}
+
+func writeCall(w http.ResponseWriter, a request.Answer) {
+	if a.Code != "" {
+		writeAnswerError(w, a)
+		return
+	}
+	for name, values := range a.Header {
+		w.Header()[name] = values
+	}
+	setOutcome(w.Header(), a)
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+// fate is the answer to GET /v1/requests/{key}.
+type fate struct {
+	Key     string `json:"key"`
+	State   string `json:"state"` // unknown, claimed, running, ended
+	Outcome string `json:"outcome,omitempty"`
+	Status  int    `json:"status,omitempty"`
+	Tokens  int    `json:"tokens,omitempty"`
+	Node    string `json:"node,omitempty"`
+}
+
+// serveFate tells where a request of this customer stands.
+func (s *Server) serveFate(w http.ResponseWriter, r *http.Request, cust catalog.Resource) {
+	key := mux.Vars(r)["key"]
+	full := request.FullKey(cust.Name, key)
+	if f := s.coord.Find(full); f != nil {
+		_, n := f.Given()
+		out := fate{Key: key, State: "running", Tokens: n, Node: s.coord.Self.Name}
+		if a := f.Answer(); a != nil {
+			out.State, out.Outcome, out.Status = "ended", wireOutcome(*a), a.Status
+		}
+		writeJSON(w, http.StatusOK, out)
+		return
+	}
+	rec := s.coord.Record(r.Context(), full)
+	out := fate{Key: key, State: "unknown"}
+	if rec != nil {
+		out.State = "claimed"
+		if len(rec.Attempts) > 0 {
+			out.Node = rec.Attempts[0].Node
+		}
+		if a, err := request.DecodeAnswer(rec.Answer); err == nil {
+			out.State, out.Outcome, out.Status, out.Tokens = "ended", wireOutcome(a), a.Status, len(a.Tokens)
+		}
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+// serveCancel ends a request of this customer that runs at this node.
+func (s *Server) serveCancel(w http.ResponseWriter, r *http.Request, cust catalog.Resource) {
+	f := s.coord.Find(request.FullKey(cust.Name, mux.Vars(r)["key"]))
+	if f == nil {
+		refuse(w, http.StatusNotFound, "request_not_found", "no request by this key is in progress at this node; ask GET /v1/requests/{key} where it is")
+		return
+	}
+	f.Cancel()
+	w.WriteHeader(http.StatusAccepted)
+}
--- /dev/null
+++ b/src/caller/completion.go
@@ -0,0 +1,250 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/crankridge/crankridge/src/catalog"
+	"github.com/crankridge/crankridge/src/openai"
+	"github.com/crankridge/crankridge/src/request"
+)
+
+// completion serves one of the two OpenAI calls.
+func (s *Server) completion(chat bool) customerHandler {
+	return func(w http.ResponseWriter, r *http.Request, cust catalog.Resource) {
+		body, ok := s.readBody(w, r)
+		if !ok {
+			return
+		}
+		req, err := openai.Parse(body, chat)
+		if err != nil {
+			refuse(w, http.StatusBadRequest, "invalid_request", err.Error())
+			return
+		}
+		snap := s.coord.Catalog()
+		if _, isModel := snap.Models[req.Model]; !isModel {
+			if _, isAdapter := snap.Adapters[req.Model]; !isAdapter {
+				refuse(w, http.StatusNotFound, "model_not_found", "there is no model or adapter "+strconv.Quote(req.Model)+"; see /v1/models")
+				return
+			}
+		}
+		a, ok := s.ask(w, r, cust, body, true)
+		if !ok {
+			return
+		}
+		a.Completion = &req
+		after, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
+		f, refusal := s.coord.Begin(a)
+		if refusal != nil {
+			writeAnswerError(w, *refusal)
+			return
+		}
+		defer f.Hold(s.coord.Now)()
+		if req.Stream {
+			s.stream(w, r, f, &req, after)
+			return
+		}
+		if answer := wait(r, f); answer != nil {
+			writeWhole(w, f, &req, *answer)
+		}
+	}
+}
+
+// wait returns the flight's answer, or nil when the caller left.
+func wait(r *http.Request, f *request.Flight) *request.Answer {
+	for {
+		_, answer, changed := f.Since(0)
+		if answer != nil {
+			return answer
+		}
+		select {
+		case <-r.Context().Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func writeWhole(w http.ResponseWriter, f *request.Flight, req *openai.Request, a request.Answer) {
+	if a.Outcome != request.Completed {
+		writeAnswerError(w, a)
+		return
+	}
+	tokens, _, _ := f.Since(0)
+	text := strings.Join(tokens, "")
+	out := head(f, req, a, openai.ObjectText)
+	choice := openai.Choice{FinishReason: &a.Finish}
+	if req.Chat {
+		out.Object = openai.ObjectChat
+		choice.Message = &openai.Message{Role: "assistant", Content: text}
+	} else {
+		choice.Text = &text
+	}
+	out.Choices = []openai.Choice{choice}
+	out.Usage = usage(a, len(tokens))
+	setOutcome(w.Header(), a)
+	writeJSON(w, http.StatusOK, out)
+}
+
+func head(f *request.Flight, req *openai.Request, a request.Answer, object string) openai.Answer {
+	_, key, _ := strings.Cut(f.Key, "/")
+	created := a.Created
+	if created == 0 {
+		created = f.Began.Unix()
+	}
+	return openai.Answer{ID: "cmpl-" + key, Object: object, Created: created, Model: req.Model}
+}
+
+func usage(a request.Answer, tokens int) *openai.Usage {
+	u := &openai.Usage{PromptTokens: a.Prompt, CompletionTokens: tokens, TotalTokens: a.Prompt + tokens}
+	u.PromptDetails.CachedTokens = a.Cached
+	return u
+}
+
+// stream sends the tokens after the given one as server-sent events. The
+// status waits for the first token, so that a refusal has its own.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, f *request.Flight, req *openai.Request, after int) {
+	out := newEventWriter(w, s.set.Limits.WriteStall, f, req)
+	sent := after
+	for {
+		tokens, answer, changed := f.Since(sent)
+		if len(tokens) == 0 && answer == nil {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-changed:
+			}
+			continue
+		}
+		if !out.begun && answer != nil && answer.Outcome != request.Completed && len(tokens) == 0 {
+			writeAnswerError(w, *answer)
+			return
+		}
+		for _, t := range tokens {
+			sent++
+			out.token(sent, t)
+		}
+		if answer != nil {
+			out.end(sent, *answer)
+		}
+		if !out.flush() || answer != nil {
+			return
+		}
+	}
+}
+
+// eventWriter writes a stream's events. The parts that do not change from one
+// chunk to the next are built once.
+type eventWriter struct {
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	stall   time.Duration
+	f       *request.Flight
+	req     *openai.Request
+	buf     []byte
+	prefix  string
+	suffix  string
+	begun   bool
+	roleDue bool
+}
+
+func newEventWriter(w http.ResponseWriter, stall time.Duration, f *request.Flight, req *openai.Request) *eventWriter {
+	e := &eventWriter{w: w, rc: http.NewResponseController(w), stall: stall, f: f, req: req, roleDue: req.Chat}
+	object := openai.ObjectText
+	if req.Chat {
+		object = openai.ObjectChatChunk
+	}
+	h := head(f, req, request.Answer{}, object)
+	h.Choices = nil
+	raw, _ := json.Marshal(h)
+	base := strings.TrimSuffix(string(raw), `"choices":null}`)
+	if req.Chat {
+		e.prefix = "\ndata: " + base + `"choices":[{"index":0,"delta":{`
+		e.suffix = "},\"finish_reason\":null}]}\n\n"
+	} else {
+		e.prefix = "\ndata: " + base + `"choices":[{"index":0,`
+		e.suffix = ",\"finish_reason\":null}]}\n\n"
+	}
+	return e
+}
+
+func (e *eventWriter) begin() {
+	if e.begun {
+		return
+	}
+	e.begun = true
+	h := e.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	e.w.WriteHeader(http.StatusOK)
+}
+
+func (e *eventWriter) token(id int, text string) {
+	e.begin()
+	e.buf = append(e.buf, "id: "...)
+	e.buf = strconv.AppendInt(e.buf, int64(id), 10)
+	e.buf = append(e.buf, e.prefix...)
+	switch {
+	case e.req.Chat && e.roleDue:
+		e.buf = append(e.buf, `"role":"assistant","content":`...)
+		e.roleDue = false
+	case e.req.Chat:
+		e.buf = append(e.buf, `"content":`...)
+	default:
+		e.buf = append(e.buf, `"text":`...)
+	}
+	quoted, _ := json.Marshal(text)
+	e.buf = append(e.buf, quoted...)
+	e.buf = append(e.buf, e.suffix...)
+}
+
+// end writes the finish, the usage when asked for, and the end mark; or the error.
+func (e *eventWriter) end(sent int, a request.Answer) {
+	e.begin()
+	if a.Outcome != request.Completed {
+		e.event(0, bodyOf(a))
+		return
+	}
+	object := openai.ObjectText
+	empty := ""
+	last := openai.Choice{FinishReason: &a.Finish, Text: &empty}
+	if e.req.Chat {
+		object = openai.ObjectChatChunk
+		last = openai.Choice{FinishReason: &a.Finish, Delta: &openai.Delta{}}
+	}
+	out := head(e.f, e.req, a, object)
+	out.Choices = []openai.Choice{last}
+	e.event(sent+1, out)
+	if e.req.WithUsage {
+		out.Choices = []openai.Choice{}
+		out.Usage = usage(a, sent)
+		e.event(sent+2, out)
+	}
+	e.buf = append(e.buf, "data: "+openai.Done+"\n\n"...)
+}
+
+func (e *eventWriter) event(id int, v any) {
+	raw, _ := json.Marshal(v)
+	if id > 0 {
+		e.buf = append(e.buf, "id: "...)
+		e.buf = strconv.AppendInt(e.buf, int64(id), 10)
+		e.buf = append(e.buf, '\n')
+	}
+	e.buf = append(e.buf, "data: "...)
+	e.buf = append(e.buf, raw...)
+	e.buf = append(e.buf, "\n\n"...)
+}
+
+// flush sends what is written; false when the reader is gone or too slow.
+func (e *eventWriter) flush() bool {
+	_ = e.rc.SetWriteDeadline(time.Now().Add(e.stall))
+	_, err := e.w.Write(e.buf)
+	e.buf = e.buf[:0]
+	if err == nil {
+		err = e.rc.Flush()
+	}
+	return err == nil
+}
--- /dev/null
+++ b/src/control/planner.go
@@ -0,0 +1,422 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/crankridge/crankridge/src/catalog"
+	"github.com/crankridge/crankridge/src/engine"
+	"github.com/crankridge/crankridge/src/event"
+	"github.com/crankridge/crankridge/src/member"
+	"github.com/crankridge/crankridge/src/plan"
+	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/settings"
+	"github.com/crankridge/crankridge/src/telemetry"
+	"github.com/crankridge/crankridge/src/upstream"
+	"github.com/crankridge/crankridge/src/view"
+)
+
+const (
+	intentsKey   = view.Prefix + "intents"
+	ordersAtOnce = 32
+	offersEvery  = 30 * time.Second
+)
+
+// planner carries out plans while its process holds the lease.
+type planner struct {
+	set     settings.Control
+	kv      *platform.KV
+	cloud   *platform.Cloud
+	engines *engine.Client
+	view    *view.View
+	lead    *lead
+	metrics *telemetry.Metrics
+	journal *telemetry.Journal
+
+	refused map[plan.OfferKey]time.Time
+	states  map[string]seenState
+	offers  []platform.Offer
+	asked   time.Time
+	rounds  int64
+	last    plan.Result
+	mu      sync.Mutex // guards rounds and last for the state dump
+}
+
+// seenState is an engine's last report, and when it was read.
+type seenState struct {
+	engine.State
+	at      time.Time
+	pending bool // an order was given since
+	failed  bool
+}
+
+// run makes one round after the other while the lease is held.
+func (p *planner) run(ctx context.Context) {
+	tick := time.NewTicker(p.set.Planner.Round)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		epoch, ok := p.lead.valid()
+		if !ok {
+			clear(p.states)
+			continue
+		}
+		if err := p.round(ctx, epoch); err != nil {
+			klog.V(1).InfoS("planner_round", "err", err)
+			p.metrics.Planner("round", "failed")
+		} else {
+			p.metrics.Planner("round", "done")
+		}
+	}
+}
+
+var errLost = errors.New("planner lease is no longer surely held")
+
+// still returns an error once the lease may have passed to another.
+func (p *planner) still(epoch int64) error {
+	if now, ok := p.lead.valid(); !ok || now != epoch {
+		return errLost
+	}
+	return nil
+}
+
+func (p *planner) round(ctx context.Context, epoch int64) error {
+	vms, err := p.cloud.VMs(ctx)
+	if err != nil {
+		return err
+	}
+	if err := p.readOffers(ctx); err != nil {
+		return err
+	}
+	// Intents are read afresh: an older planner may have written after this
+	// one's view was made.
+	stored, _, _, err := p.kv.Get(ctx, intentsKey)
+	if err != nil {
+		return err
+	}
+	var intents []plan.Intent
+	if len(stored.Value) > 0 {
+		if err := json.Unmarshal(stored.Value, &intents); err != nil {
+			return err
+		}
+	}
+	p.readEngines(ctx, vms)
+	snap, _ := catalog.NewSnapshot(p.view.List(catalog.ConfigPrefix))
+	in := plan.Input{
+		Catalog: snap, VMs: vms, Offers: p.offers, Engines: p.answered(), Intents: intents, Refused: p.refused, Now: time.Now(),
+		Params: plan.Params{
+			Prefix: p.set.Planner.Prefix, Most: p.set.Planner.Most, WeightsRate: p.set.Planner.WeightsRate, Boot: p.set.Planner.Boot,
+			Margin: p.set.Planner.Margin, Spread: p.set.Planner.Spread, OnDemand: p.set.Planner.OnDemandOnly,
+		},
+	}
+	res := plan.Make(in)
+	p.mu.Lock()
+	p.rounds++
+	p.last = res
+	p.mu.Unlock()
+	// What is leaving is told first: it is the most urgent.
+	if err := p.publish(ctx, epoch, vms, res.Actions.Intents); err != nil {
+		return err
+	}
+	if err := p.storeIntents(ctx, epoch, stored, intents, res.Actions.Intents); err != nil {
+		return err
+	}
+	if err := p.act(ctx, epoch, res.Actions); err != nil {
+		return err
+	}
+	return p.tellEvents(ctx, epoch, in, res)
+}
+
+func (p *planner) readOffers(ctx context.Context) error {
+	if p.offers != nil && time.Since(p.asked) < offersEvery {
+		return nil
+	}
+	offers, err := p.cloud.Offers(ctx)
+	if err == nil {
+		p.offers, p.asked = offers, time.Now()
+	}
+	return err
+}
+
+// readEngines asks those engines whose state may have changed: new ones, ones
+// that load something, ones that failed, and all others now and then.
+func (p *planner) readEngines(ctx context.Context, vms []platform.VM) {
+	var due []platform.VM
+	living := map[string]bool{}
+	for _, vm := range vms {
+		if vm.Role != "engine" || vm.Address == "" || vm.State == platform.VMTerminated {
+			continue
+		}
+		living[vm.Name] = true
+		s, known := p.states[vm.Name]
+		if !known || s.pending || s.failed || len(s.Loading) > 0 || time.Since(s.at) > p.set.Planner.Recheck {
+			due = append(due, vm)
+		}
+	}
+	maps.DeleteFunc(p.states, func(name string, _ seenState) bool { return !living[name] })
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, ordersAtOnce)
+	for _, vm := range due {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			st, err := p.engines.State(ctx, vm.Address, noCacheEvents)
+			mu.Lock()
+			p.states[vm.Name] = seenState{State: st, at: time.Now(), failed: err != nil}
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+}
+
+// noCacheEvents is above any event's number, so that none is sent.
+const noCacheEvents = 1 << 62
+
+func (p *planner) answered() map[string]engine.State {
+	out := map[string]engine.State{}
+	for name, s := range p.states {
+		if !s.failed {
+			out[name] = s.State
+		}
+	}
+	return out
+}
+
+func (p *planner) storeIntents(ctx context.Context, epoch int64, stored platform.Item, old, next []plan.Intent) error {
+	if slices.Equal(old, next) {
+		return nil
+	}
+	if err := p.still(epoch); err != nil {
+		return err
+	}
+	raw, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	swap, err := p.kv.PutIf(ctx, intentsKey, raw, stored.Revision, 0)
+	if err == nil && !swap.Won {
+		err = errLost
+	}
+	return err
+}
+
+func (p *planner) act(ctx context.Context, epoch int64, a plan.Actions) error {
+	for _, i := range a.Buy {
+		if err := p.buy(ctx, epoch, i, a.Intents); err != nil {
+			return err
+		}
+	}
+	for _, name := range a.Terminate {
+		if err := p.still(epoch); err != nil {
+			return err
+		}
+		err := p.cloud.Terminate(ctx, name)
+		p.note(name, "terminate", err)
+	}
+	for _, o := range a.Unload {
+		p.order(ctx, epoch, o, engine.OpUnload)
+	}
+	for _, o := range a.Load {
+		p.order(ctx, epoch, o, engine.OpLoad)
+	}
+	return nil
+}
+
+func (p *planner) buy(ctx context.Context, epoch int64, i plan.Intent, all []plan.Intent) error {
+	if err := p.still(epoch); err != nil {
+		return err
+	}
+	_, err := p.cloud.Buy(ctx, i.Name, i.Offer)
+	p.note(i.Name, "buy", err)
+	if !errors.Is(err, platform.ErrRefused) {
+		return nil
+	}
+	p.refused[plan.KeyOf(i.Offer)] = time.Now()
+	// The intent is given up, or it would count as coming for ever.
+	stored, _, _, err := p.kv.Get(ctx, intentsKey)
+	if err != nil {
+		return err
+	}
+	var have []plan.Intent
+	if err := json.Unmarshal(stored.Value, &have); err != nil {
+		return err
+	}
+	have = slices.DeleteFunc(have, func(o plan.Intent) bool { return o.Name == i.Name })
+	return p.storeIntents(ctx, epoch, stored, all, have)
+}
+
+func (p *planner) order(ctx context.Context, epoch int64, l plan.Load, op string) {
+	if p.still(epoch) != nil {
+		return
+	}
+	err := p.engines.Give(ctx, l.Addr, engine.Order{Epoch: epoch, Op: op, Name: l.Item.Name, Version: l.Item.Version, Bytes: l.Size})
+	s := p.states[l.VM]
+	s.pending = true
+	p.states[l.VM] = s
+	p.note(l.VM, op+" "+l.Item.Name, err)
+}
+
+func (p *planner) note(subject, what string, err error) {
+	why, result := "", "done"
+	if err != nil {
+		why, result = err.Error(), "failed"
+	}
+	p.journal.Add(subject, what, why)
+	verb, _, _ := strings.Cut(what, " ")
+	p.metrics.Planner(verb, result)
+	klog.InfoS("planner_action", "subject", subject, "what", what, "err", err)
+}
+
+// publish stores the upstream list of each failure domain that changed, and
+// the list of entry VMs that run no more.
+func (p *planner) publish(ctx context.Context, epoch int64, vms []platform.VM, intents []plan.Intent) error {
+	released := map[string]int64{}
+	for _, i := range intents {
+		if i.ReleaseMS > 0 {
+			released[i.Name] = i.ReleaseMS
+		}
+	}
+	domains := map[string]*upstream.Domain{}
+	for _, it := range p.view.List(upstream.Prefix) {
+		domains[it.Key[len(upstream.Prefix):]] = &upstream.Domain{}
+	}
+	gone := []string{}
+	for _, vm := range vms {
+		if vm.Role == "entry" && vm.State == platform.VMTerminated {
+			gone = append(gone, vm.ID)
+		}
+		if pub, ok := p.published(vm, released[vm.Name]); ok {
+			if domains[vm.FailureDomain] == nil {
+				domains[vm.FailureDomain] = &upstream.Domain{}
+			}
+			domains[vm.FailureDomain].Upstreams = append(domains[vm.FailureDomain].Upstreams, pub)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		if err := p.storeIfNew(ctx, epoch, upstream.Prefix+name, domains[name].Encode()); err != nil {
+			return err
+		}
+	}
+	raw, err := json.Marshal(gone)
+	if err != nil || len(gone) == 0 {
+		return err
+	}
+	return p.storeIfNew(ctx, epoch, member.GoneKey, raw)
+}
+
+func (p *planner) published(vm platform.VM, released int64) (upstream.Published, bool) {
+	pub := upstream.Published{
+		Name: vm.Name, VM: vm.ID, Addr: vm.Address, FailureDomain: vm.FailureDomain, Region: vm.Region, LeavingMS: max(vm.DeadlineMS, released),
+	}
+	if vm.Address == "" || vm.State != platform.VMRunning && vm.State != platform.VMLeaving {
+		return pub, false
+	}
+	switch vm.Role {
+	case "service":
+		pub.Kind, pub.Service = upstream.KindService, vm.Service
+		return pub, true
+	case "engine":
+		s, ok := p.states[vm.Name]
+		pub.Kind, pub.Models, pub.Slots, pub.PrefillTPS, pub.MoveTPS = upstream.KindEngine, s.Models, s.Slots, s.PrefillTPS, p.set.Planner.MoveTPS
+		slices.SortFunc(pub.Models, func(a, b engine.Loaded) int { return strings.Compare(a.Name, b.Name) })
+		// An engine that does not answer now keeps what was published of it.
+		if !ok || s.failed && len(s.Models) == 0 {
+			return p.lastPublished(vm, pub)
+		}
+		if s.LeavingMS > 0 && pub.LeavingMS == 0 {
+			pub.LeavingMS = s.LeavingMS
+		}
+		return pub, true
+	}
+	return pub, false
+}
+
+func (p *planner) lastPublished(vm platform.VM, now upstream.Published) (upstream.Published, bool) {
+	it, ok := p.view.Get(upstream.Prefix + vm.FailureDomain)
+	if !ok {
+		return now, false
+	}
+	d, err := upstream.DecodeDomain(it.Value)
+	i := slices.IndexFunc(d.Upstreams, func(u upstream.Published) bool { return u.Name == vm.Name && u.Addr == vm.Address })
+	if err != nil || i < 0 {
+		return now, false
+	}
+	last := d.Upstreams[i]
+	last.LeavingMS = now.LeavingMS
+	return last, true
+}
+
+// storeIfNew writes a value that differs from what the view holds. Losing the
+// race is no error: the next round sees what won.
+func (p *planner) storeIfNew(ctx context.Context, epoch int64, key string, raw []byte) error {
+	it, ok := p.view.Get(key)
+	if ok && string(it.Value) == string(raw) {
+		return nil
+	}
+	if err := p.still(epoch); err != nil {
+		return err
+	}
+	if !ok {
+		it.Revision = 0
+	}
+	_, err := p.kv.PutIf(ctx, key, raw, it.Revision, 0)
+	return err
+}
+
+// tellEvents stores the status of each event that changed.
+func (p *planner) tellEvents(ctx context.Context, epoch int64, in plan.Input, res plan.Result) error {
+	services := map[string]int{}
+	for _, vm := range in.VMs {
+		if vm.Role == "service" && vm.State == platform.VMRunning {
+			services[vm.Service]++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(in.Catalog.Events)) {
+		ev := in.Catalog.Events[name]
+		var old event.Status
+		if it, ok := p.view.Get(event.Prefix + name); ok {
+			old, _ = event.Decode(it.Value)
+		}
+		next, changed := event.Next(old, name, ev.Version, plan.FactsOf(ev, in, res, services))
+		if !changed {
+			continue
+		}
+		if next.Phase != old.Phase {
+			p.journal.Add(name, "phase "+string(next.Phase), strings.Join(next.Reasons, "; "))
+			klog.InfoS("event", "name", name, "phase", next.Phase, "reasons", strings.Join(next.Reasons, "; "))
+		}
+		if err := p.storeIfNew(ctx, epoch, event.Prefix+name, next.Encode()); err != nil {
+			return err
+		}
+	}
+	return p.dropStatuses(ctx, epoch, in.Catalog)
+}
+
+// dropStatuses removes the statuses of events that were deleted.
+func (p *planner) dropStatuses(ctx context.Context, epoch int64, snap *catalog.Snapshot) error {
+	for _, it := range p.view.List(event.Prefix) {
+		if _, ok := snap.Events[it.Key[len(event.Prefix):]]; ok {
+			continue
+		}
+		if err := p.still(epoch); err != nil {
+			return err
+		}
+		if _, err := p.kv.DeleteIf(ctx, it.Key, it.Revision); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/src/ctl/ctl.go
@@ -0,0 +1,87 @@
+// Package ctl is crankctl: the operators' commands, and a caller for trying
+// things out and for load.
+package ctl
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes, so that scripts can tell what happened.
+const (
+	exitFailed   = 1 // the command failed
+	exitConflict = 3 // somebody else changed the resource
+	exitDown     = 4 // nothing was changed: a service is unavailable; try again
+	exitUnsure   = 5 // it is not known whether it took effect; try the same again
+	exitLagging  = 6 // accepted, but not in force everywhere in time
+)
+
+// exitError carries an exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e exitError) Error() string { return e.err.Error() }
+
+func fail(code int, format string, args ...any) error {
+	return exitError{code, fmt.Errorf(format, args...)}
+}
+
+type globals struct {
+	Control []string `help:"Addresses of crank-control, tried in order." default:"127.0.0.1:7103" env:"CRANKRIDGE_CONTROL" sep:","`
+	Token   string   `help:"Operator token." env:"CRANKRIDGE_TOKEN"`
+	Entry   []string `help:"Addresses of crank-entry for callers, tried in order." default:"127.0.0.1:7101" env:"CRANKRIDGE_ENTRY" sep:","`
+	Key     string   `help:"Bearer key of a customer." env:"CRANKRIDGE_KEY"`
+}
+
+type commands struct {
+	globals
+	Apply      applyCmd      `cmd:"" help:"Create or change resources from a YAML file of one or more documents."`
+	Get        getCmd        `cmd:"" help:"Show resources: crankctl get events, crankctl get model climb -o yaml."`
+	Edit       editCmd       `cmd:"" help:"Print a resource as YAML, ready to be changed and applied: crankctl edit event saturday > e.yaml."`
+	Delete     deleteCmd     `cmd:"" help:"Delete a resource."`
+	Watch      watchCmd      `cmd:"" help:"Show every change as it comes, from a version on."`
+	Status     statusCmd     `cmd:"" help:"Show events, nodes and upstreams at a glance."`
+	Explain    explainCmd    `cmd:"" help:"Tell what was decided about an event, request or upstream, when and why."`
+	Dump       dumpCmd       `cmd:"" help:"Print the whole state of a process as JSON."`
+	Endpoints  endpointsCmd  `cmd:"" help:"Show which addresses a caller should use."`
+	Send       sendCmd       `cmd:"" help:"Send a chat request or a service call as a caller would."`
+	Load       loadCmd       `cmd:"" help:"Send requests at given times and measure what comes back."`
+	Completion completionCmd `cmd:"" help:"Print a bash completion script: source <(crankctl completion)."`
+}
+
+const about = `Operates crankridge and calls it.
+
+The first steps, against the demo (make demo KEEP=1):
+  crankctl --token demo-operator status
+  crankctl --token demo-operator get events -o yaml
+  crankctl --key demo-ride-key send --model climb "Describe the climb."
+
+Exit codes: 1 failed, 2 wrong usage, 3 changed by somebody else, 4 nothing was
+changed because a service is unavailable, 5 not known whether it took effect,
+6 accepted but not yet in force everywhere.`
+
+// Main runs the command line.
+func Main() {
+	var c commands
+	k := kong.Must(&c, kong.Name("crankctl"), kong.Description(about), kong.UsageOnError())
+	ctx, err := k.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "crankctl:", err)
+		os.Exit(2)
+	}
+	err = ctx.Run(&c.globals, k)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "crankctl:", err)
+	var e exitError
+	if errors.As(err, &e) {
+		os.Exit(e.code)
+	}
+	os.Exit(exitFailed)
+}
--- /dev/null
+++ b/src/ctl/load.go
@@ -0,0 +1,5 @@
+package ctl
+
+type loadCmd struct{}
+
+func (loadCmd) Run(g *globals) error { return nil }
--- /dev/null
+++ b/src/ctl/resources.go
@@ -0,0 +1,268 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/uuid"
+
+	"github.com/crankridge/crankridge/src/catalog"
+	"github.com/crankridge/crankridge/src/operator"
+)
+
+type applyCmd struct {
+	File    string        `help:"YAML file, - for standard input." short:"f" required:""`
+	Wait    bool          `help:"Return when the change is in force on every live node."`
+	Timeout time.Duration `help:"How long to wait." default:"30s"`
+	DryRun  bool          `help:"Check on the server, change nothing."`
+}
+
+// Run applies every document, in order, and stops at the first that fails.
+func (c *applyCmd) Run(g *globals) error {
+	docs, err := readDocuments(c.File)
+	if err != nil {
+		return err
+	}
+	last := int64(0)
+	for _, r := range docs {
+		stored, err := g.apply(r, c.DryRun)
+		if err != nil {
+			return err
+		}
+		last = max(last, stored.Version)
+		verb := "applied"
+		if c.DryRun {
+			verb = "valid"
+		}
+		fmt.Printf("%s/%s %s, version %d\n", r.Kind, r.Name, verb, stored.Version)
+	}
+	if !c.Wait || c.DryRun {
+		return nil
+	}
+	return g.waitInForce(last, c.Timeout)
+}
+
+func readDocuments(file string) ([]catalog.Resource, error) {
+	var raw []byte
+	var err error
+	if file == "-" {
+		raw, err = io.ReadAll(os.Stdin)
+	} else {
+		raw, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return nil, fail(exitFailed, "read %s: %v", file, err)
+	}
+	var out []catalog.Resource
+	// UseJSONUnmarshaler lets the resources keep one set of field names.
+	dec := yaml.NewDecoder(bytes.NewReader(raw), yaml.Strict(), yaml.UseJSONUnmarshaler())
+	for {
+		var r catalog.Resource
+		err := dec.Decode(&r)
+		if errors.Is(err, io.EOF) {
+			return out, nil
+		}
+		if err != nil {
+			return nil, fail(exitFailed, "%s: document %d: %s", file, len(out)+1, yaml.FormatError(err, false, true))
+		}
+		if r.Kind == "" && r.Name == "" {
+			continue
+		}
+		if err := r.Validate(); err != nil {
+			return nil, fail(exitFailed, "%s: document %d (%s/%s): %v", file, len(out)+1, r.Kind, r.Name, err)
+		}
+		out = append(out, r)
+	}
+}
+
+// apply makes one change. A lost answer is asked for again by the same change id.
+func (g *globals) apply(r catalog.Resource, dryRun bool) (catalog.Resource, error) {
+	path := "/v1/resources/" + string(r.Kind) + "/" + r.Name
+	version := r.Version
+	if version == 0 {
+		var have catalog.Resource
+		a, err := g.ask(http.MethodGet, path, nil, nil)
+		if err != nil {
+			return r, err
+		}
+		if a.status == http.StatusOK && json.Unmarshal(a.body, &have) == nil {
+			version = have.Version
+		}
+	}
+	r.Version, r.Changes = 0, nil
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return r, err
+	}
+	if dryRun {
+		path += "?dry_run=true"
+	}
+	header := map[string]string{"If-Match": strconv.FormatInt(version, 10), "Crankridge-Change-Id": uuid.NewString()}
+	var a answer
+	for try := range sendTries {
+		if try > 0 {
+			time.Sleep(time.Second)
+		}
+		if a, err = g.ask(http.MethodPut, path, header, raw); err == nil && a.status != http.StatusServiceUnavailable {
+			break
+		}
+	}
+	if err != nil {
+		return r, err
+	}
+	if a.status != http.StatusOK {
+		return r, a.problem()
+	}
+	var stored catalog.Resource
+	return stored, json.Unmarshal(a.body, &stored)
+}
+
+func (g *globals) waitInForce(version int64, timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for {
+		var f operator.InForce
+		_, err := g.read("/v1/inforce?version="+strconv.FormatInt(version, 10), &f)
+		if err == nil && f.Have == f.Nodes && f.Nodes > 0 {
+			fmt.Printf("in force on all %d nodes\n", f.Nodes)
+			return nil
+		}
+		if time.Now().After(deadline) {
+			if err != nil {
+				return err
+			}
+			return fail(exitLagging, "accepted, but in force on %d of %d nodes only; lagging: %s", f.Have, f.Nodes, strings.Join(f.Lagging, ", "))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+type getCmd struct {
+	Kind   string `arg:"" help:"events, models, adapters, services, customers."`
+	Name   string `arg:"" optional:"" help:"One resource only."`
+	Output string `help:"table, yaml or json." short:"o" enum:"table,yaml,json" default:"table"`
+}
+
+// Run shows resources.
+func (c *getCmd) Run(g *globals) error {
+	list, err := g.resources(c.Kind, c.Name)
+	if err != nil {
+		return err
+	}
+	switch c.Output {
+	case "json":
+		return printJSON(list)
+	case "yaml":
+		return printYAML(list)
+	}
+	return printTable(list)
+}
+
+func (g *globals) resources(kind, name string) ([]catalog.Resource, error) {
+	path := "/v1/resources/" + kind
+	if name == "" {
+		var list []catalog.Resource
+		_, err := g.read(path, &list)
+		return list, err
+	}
+	var one catalog.Resource
+	_, err := g.read(path+"/"+name, &one)
+	return []catalog.Resource{one}, err
+}
+
+func printJSON(v any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func printYAML(list []catalog.Resource) error {
+	for i, r := range list {
+		if i > 0 {
+			fmt.Println("---")
+		}
+		r.Changes = nil
+		raw, err := yaml.MarshalWithOptions(r, yaml.UseJSONMarshaler())
+		if err != nil {
+			return err
+		}
+		fmt.Print(string(raw))
+	}
+	return nil
+}
+
+func printTable(list []catalog.Resource) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "KIND\tNAME\tVERSION\tWHAT")
+	for _, r := range list {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", r.Kind, r.Name, r.Version, summary(r))
+	}
+	return w.Flush()
+}
+
+func summary(r catalog.Resource) string {
+	switch {
+	case r.Event != nil:
+		return fmt.Sprintf("%s to %s, %d models, %d customers", r.Event.Start.Format(time.RFC3339), r.Event.End.Format(time.RFC3339), len(r.Event.Models), len(r.Event.Customers))
+	case r.Model != nil:
+		return fmt.Sprintf("version %s, %d bytes, %d servers", r.Model.Version, r.Model.Bytes, r.Model.Servers)
+	case r.Adapter != nil:
+		return fmt.Sprintf("of %s, version %s", r.Adapter.Model, r.Adapter.Version)
+	case r.Service != nil:
+		return fmt.Sprintf("repeatable %t", r.Service.Repeatable)
+	case r.Customer != nil:
+		return fmt.Sprintf("weight %d, priority %d", r.Customer.Weight, r.Customer.Priority)
+	}
+	return ""
+}
+
+type editCmd struct {
+	Kind string `arg:""`
+	Name string `arg:""`
+}
+
+// Run prints a resource with its version: applying it fails if somebody
+// changed the resource meanwhile.
+func (c *editCmd) Run(g *globals) error {
+	list, err := g.resources(c.Kind, c.Name)
+	if err != nil {
+		return err
+	}
+	return printYAML(list)
+}
+
+type deleteCmd struct {
+	Kind    string `arg:""`
+	Name    string `arg:""`
+	Version int64  `help:"Delete only this version; the present one if left out."`
+}
+
+// Run deletes a resource.
+func (c *deleteCmd) Run(g *globals) error {
+	version := c.Version
+	if version == 0 {
+		list, err := g.resources(c.Kind, c.Name)
+		if err != nil {
+			return err
+		}
+		version = list[0].Version
+	}
+	a, err := g.ask(http.MethodDelete, "/v1/resources/"+c.Kind+"/"+c.Name, map[string]string{"If-Match": strconv.FormatInt(version, 10)}, nil)
+	if err != nil {
+		return err
+	}
+	if a.status != http.StatusOK {
+		return a.problem()
+	}
+	fmt.Printf("%s/%s deleted\n", c.Kind, c.Name)
+	return nil
+}
--- /dev/null
+++ b/src/entry/exchange.go
@@ -0,0 +1,231 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/crankridge/crankridge/src/admit"
+	"github.com/crankridge/crankridge/src/member"
+	"github.com/crankridge/crankridge/src/peer"
+	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/request"
+)
+
+const (
+	demandSample  = 8
+	leavingSample = 32
+	fanOut        = 3
+	flushNotices  = 20 * time.Millisecond
+	exchangeLimit = 2 * time.Second
+)
+
+// exchangeLoop swaps digests with one peer at a time.
+func (n *Node) exchangeLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if addr := n.pickPeer(); addr != "" {
+			n.exchange(ctx, addr)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(request.Jitter(n.set.Exchange.Interval)):
+		}
+	}
+}
+
+// pickPeer takes a random live node, or a configured address while none is known.
+func (n *Node) pickPeer() string {
+	var others []string
+	for _, o := range n.fleet.Nodes() {
+		if o.Name != n.self.Name {
+			others = append(others, o.Peers)
+		}
+	}
+	if len(others) == 0 {
+		for _, a := range n.set.Peers {
+			if a != n.self.Peers {
+				others = append(others, a)
+			}
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return others[rand.IntN(len(others))]
+}
+
+func (n *Node) exchange(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
+	defer cancel()
+	resp, err := n.pool.To(addr).Exchange(ctx, &peer.ExchangeRequest{Digest: n.digest()})
+	n.fleet.Called(addr, err == nil)
+	if err != nil {
+		return
+	}
+	n.take(resp.Digest)
+	if resp.Complete > n.revision() {
+		n.view.ApplyPeer(itemsOf(resp.Items), resp.Complete)
+	}
+}
+
+// Exchange answers a peer: its digest is taken in, and it gets what it lacks.
+// When it has more, this node asks it back.
+func (n *Node) Exchange(_ context.Context, m *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
+	d := m.GetDigest()
+	n.take(d)
+	out := &peer.ExchangeResponse{Digest: n.digest(), Complete: n.revision()}
+	if d.GetComplete() < out.Complete {
+		items, complete := n.view.Since(d.GetComplete())
+		out.Complete = complete
+		for _, it := range items {
+			out.Items = append(out.Items, &peer.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
+		}
+	}
+	if d.GetComplete() > out.Complete {
+		if o, ok := n.fleet.Find(d.Node); ok {
+			go n.exchange(context.Background(), o.Peers)
+		}
+	}
+	return out, nil
+}
+
+func itemsOf(items []*peer.Item) []platform.Item {
+	var out []platform.Item
+	for _, it := range items {
+		out = append(out, platform.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
+	}
+	return out
+}
+
+func (n *Node) digest() *peer.Digest {
+	now := time.Now()
+	d := &peer.Digest{Node: n.self.Name, Incarnation: n.self.Incarnation, Complete: n.revision(), Inflight: int32(n.coord.Open())}
+	for _, dm := range append(n.limiter.Own(now), n.limiter.Sample(demandSample, now)...) {
+		d.Demands = append(d.Demands, &peer.Demand{Node: dm.Node, Customer: dm.Customer, Rate: float32(dm.Rate), AtMs: dm.At.UnixMilli()})
+	}
+	for name, at := range n.registry.LeavingList() {
+		if len(d.Leaving) < leavingSample && time.Since(at) < time.Minute {
+			d.Leaving = append(d.Leaving, &peer.Leaving{Name: name, DeadlineMs: at.UnixMilli()})
+		}
+	}
+	return d
+}
+
+func (n *Node) take(d *peer.Digest) {
+	if d == nil {
+		return
+	}
+	n.fleet.Heard(d.Node, int(d.Inflight))
+	for _, dm := range d.Demands {
+		n.limiter.Heard(admit.Demand{Node: dm.Node, Customer: dm.Customer, Rate: float64(dm.Rate), At: time.UnixMilli(dm.AtMs)})
+	}
+	n.takeLeaving(d.Leaving)
+}
+
+func (n *Node) takeLeaving(list []*peer.Leaving) {
+	for _, l := range list {
+		n.registry.Leave(l.Name, time.UnixMilli(l.DeadlineMs))
+	}
+}
+
+// upstreamLeft queues first-hand or new second-hand news for passing on.
+func (n *Node) upstreamLeft(name string, deadline time.Time) {
+	select {
+	case n.left <- &peer.Leaving{Name: name, DeadlineMs: deadline.UnixMilli()}:
+	default:
+	}
+}
+
+// notifyLoop passes news of leaving upstreams on to a few peers at once; each
+// of them does the same with what is new to it.
+func (n *Node) notifyLoop(ctx context.Context) {
+	for {
+		var batch []*peer.Leaving
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-n.left:
+			batch = append(batch, l)
+		}
+		wait := time.After(flushNotices)
+		for open := true; open; {
+			select {
+			case l := <-n.left:
+				batch = append(batch, l)
+			case <-wait:
+				open = false
+			}
+		}
+		for range fanOut {
+			if addr := n.pickPeer(); addr != "" {
+				go n.notify(ctx, addr, batch)
+			}
+		}
+	}
+}
+
+func (n *Node) notify(ctx context.Context, addr string, batch []*peer.Leaving) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
+	defer cancel()
+	_, err := n.pool.To(addr).Notify(ctx, &peer.NotifyRequest{Leaving: batch})
+	n.fleet.Called(addr, err == nil)
+}
+
+// Notify takes in news of leaving upstreams.
+func (n *Node) Notify(_ context.Context, m *peer.NotifyRequest) (*peer.Empty, error) {
+	n.takeLeaving(m.Leaving)
+	return &peer.Empty{}, nil
+}
+
+// Inventory tells what is in force here and which shards this node is ready for.
+func (n *Node) Inventory(context.Context, *peer.Empty) (*peer.InventoryResponse, error) {
+	out := &peer.InventoryResponse{Node: n.self.Name, Complete: n.revision()}
+	for shard, epoch := range n.ledger.Ready() {
+		out.Ready = append(out.Ready, &peer.ShardReady{Shard: int32(shard), Epoch: epoch})
+	}
+	return out, nil
+}
+
+// The keeper's and coordinator's side of the protocol is the coordinator's.
+
+// Claim is served by the coordinator.
+func (n *Node) Claim(ctx context.Context, m *peer.ClaimRequest) (*peer.ClaimResponse, error) {
+	return n.coord.Claim(ctx, m)
+}
+
+// Settle is served by the coordinator.
+func (n *Node) Settle(ctx context.Context, m *peer.SettleRequest) (*peer.Empty, error) {
+	return n.coord.Settle(ctx, m)
+}
+
+// Lookup is served by the coordinator.
+func (n *Node) Lookup(ctx context.Context, m *peer.LookupRequest) (*peer.LookupResponse, error) {
+	return n.coord.Lookup(ctx, m)
+}
+
+// Seal is served by the coordinator.
+func (n *Node) Seal(ctx context.Context, m *peer.SealRequest) (*peer.SealResponse, error) {
+	return n.coord.Seal(ctx, m)
+}
+
+// Inquire is served by the coordinator.
+func (n *Node) Inquire(ctx context.Context, m *peer.InquireRequest) (*peer.InquireResponse, error) {
+	return n.coord.Inquire(ctx, m)
+}
+
+// Read is served by the coordinator.
+func (n *Node) Read(ctx context.Context, m *peer.ReadRequest) (*peer.ReadResponse, error) {
+	return n.coord.Read(ctx, m)
+}
+
+var _ peer.Peer = (*Node)(nil)
+
+func suspects(f *member.Fleet) []string {
+	var out []string
+	for _, o := range f.Nodes() {
+		if f.Suspect(o.Name) {
+			out = append(out, o.Name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/src/entry/operator.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/crankridge/crankridge/src/claim"
+	"github.com/crankridge/crankridge/src/member"
+	"github.com/crankridge/crankridge/src/operator"
+	"github.com/crankridge/crankridge/src/serve"
+	"github.com/crankridge/crankridge/src/upstream"
+)
+
+// State is the dump of a node: all that it knows, bounded.
+type State struct {
+	Node       member.Node         `json:"node"`
+	UptimeS    int64               `json:"uptime_s"`
+	Phase      int                 `json:"phase"` // 0 serving, 1 leaving, 2 refusing
+	Complete   int64               `json:"complete_revision"`
+	Source     string              `json:"complete_from"` // "kv" or "peer"
+	Versions   map[string]int64    `json:"versions"`
+	Nodes      []member.Node       `json:"nodes"`
+	Suspects   []string            `json:"suspects"`
+	Upstreams  []upstream.Dump     `json:"upstreams"`
+	Open       int                 `json:"open_requests"`
+	Retries    float64             `json:"retries_left"`
+	Requests   []serve.FlightDump  `json:"requests"`
+	Queues     []serve.QueueDump   `json:"queues"`
+	Shards     map[int]ShardState  `json:"shards_kept"`
+	Records    int                 `json:"records"`
+	MapShards  int                 `json:"map_shards"`
+	MapPassive int                 `json:"map_passive"`
+	Traffic    map[string][2]int64 `json:"control_bytes"` // by channel: in, out
+}
+
+// ShardState is a shard this node keeps.
+type ShardState struct {
+	Epoch int64 `json:"epoch"`
+	Ready int64 `json:"ready"`
+}
+
+func (n *Node) state() State {
+	rev, src := n.view.Complete()
+	s := State{
+		Node: n.self, UptimeS: int64(time.Since(n.started).Seconds()), Phase: int(n.callers.Phase()), Complete: rev, Source: string(src),
+		Versions: map[string]int64{}, Nodes: n.fleet.Nodes(), Suspects: suspects(n.fleet), Upstreams: n.registry.Dumps(),
+		Open: n.coord.Open(), Retries: n.coord.Retries(), Requests: n.coord.Flights(), Queues: n.coord.Queues(),
+		Shards: map[int]ShardState{}, Records: n.ledger.Expire(time.Now()),
+		Traffic: map[string][2]int64{
+			"kv":        {n.kvTraffic.In.Load(), n.kvTraffic.Out.Load()},
+			"peers_out": {n.pool.Traffic.In.Load(), n.pool.Traffic.Out.Load()},
+			"peers_in":  {n.peerIn.In.Load(), n.peerIn.Out.Load()},
+			"engines":   {n.coord.Engines.Control.In.Load(), n.coord.Engines.Control.Out.Load()},
+		},
+	}
+	for _, it := range n.view.List("") {
+		s.Versions[it.Key] = it.Revision
+	}
+	if m := n.coord.Shards(); m != nil {
+		s.addShards(*m, n.ledger.Ready())
+	}
+	return s
+}
+
+func (s *State) addShards(m claim.Map, ready map[int]int64) {
+	s.MapShards = len(m.Shards)
+	for i, def := range m.Shards {
+		if !def.Active {
+			s.MapPassive++
+		}
+		if r, ok := ready[i]; ok {
+			s.Shards[i] = ShardState{Epoch: def.Epoch, Ready: r}
+		}
+	}
+}
+
+func (n *Node) operatorHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Handle("/metrics", n.metrics.Handler())
+	r.HandleFunc("/debug/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.state()) })
+	r.HandleFunc("/debug/explain", func(w http.ResponseWriter, q *http.Request) {
+		writeJSON(w, n.coord.Explain(q.URL.Query().Get("subject")))
+	})
+	return operator.RequireToken(n.set.Secrets.Operator, r)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/src/operator/token.go
@@ -0,0 +1,18 @@
+package operator
+
+import (
+	"crypto/subtle"
+	"net/http"
+)
+
+// RequireToken lets only operators through, but for the health check.
+func RequireToken(token string, next http.Handler) http.Handler {
+	want := []byte("Bearer " + token)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/healthz" && subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
+			http.Error(w, "wrong operator token; give it by --token or CRANKRIDGE_TOKEN", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/src/peer/convert.go
@@ -0,0 +1,75 @@
+package peer
+
+import "github.com/crankridge/crankridge/src/claim"
+
+// FromAttempt gives the message form of an attempt.
+func FromAttempt(a claim.Attempt) *Attempt {
+	return &Attempt{Id: a.ID, Node: a.Node, Incarnation: a.Incarnation, PeerAddr: a.Addr, Engine: a.Engine, Stream: a.Stream}
+}
+
+// ToAttempt reads the message form of an attempt.
+func ToAttempt(a *Attempt) claim.Attempt {
+	return claim.Attempt{ID: a.GetId(), Node: a.GetNode(), Incarnation: a.GetIncarnation(), Addr: a.GetPeerAddr(), Engine: a.GetEngine(), Stream: a.GetStream()}
+}
+
+// FromRecord gives the message form of a record; nil stays nil.
+func FromRecord(r *claim.Record) *Record {
+	if r == nil {
+		return nil
+	}
+	out := &Record{Key: r.Key, Digest: r.Digest, Repeatable: r.Repeatable, Answer: r.Answer, CreatedMs: r.CreatedMS}
+	for _, a := range r.Attempts {
+		out.Attempts = append(out.Attempts, FromAttempt(a))
+	}
+	return out
+}
+
+// ToRecord reads the message form of a record; nil stays nil.
+func ToRecord(r *Record) *claim.Record {
+	if r == nil {
+		return nil
+	}
+	out := &claim.Record{Key: r.Key, Digest: r.Digest, Repeatable: r.Repeatable, Answer: r.Answer, CreatedMS: r.CreatedMs}
+	for _, a := range r.Attempts {
+		out.Attempts = append(out.Attempts, ToAttempt(a))
+	}
+	return out
+}
+
+// FromClaim gives the message form of a claim.
+func FromClaim(c claim.Claim) *ClaimRequest {
+	return &ClaimRequest{
+		Shard: int32(c.Shard), Epoch: c.Epoch, Key: c.Key, Digest: c.Digest,
+		Attempt: FromAttempt(c.Attempt), Repeatable: c.Repeatable, Superseded: c.Superseded,
+	}
+}
+
+// ToClaim reads the message form of a claim.
+func ToClaim(c *ClaimRequest) claim.Claim {
+	return claim.Claim{
+		Shard: int(c.Shard), Epoch: c.Epoch, Key: c.Key, Digest: c.Digest,
+		Attempt: ToAttempt(c.Attempt), Repeatable: c.Repeatable, Superseded: c.Superseded,
+	}
+}
+
+var verdicts = map[claim.Verdict]Verdict{
+	claim.Stored: Verdict_VERDICT_STORED, claim.Held: Verdict_VERDICT_HELD, claim.StaleEpoch: Verdict_VERDICT_STALE_EPOCH,
+	claim.NotReady: Verdict_VERDICT_NOT_READY, claim.Full: Verdict_VERDICT_FULL,
+}
+
+// FromReply gives the message form of a keeper's reply.
+func FromReply(r claim.Reply) *ClaimResponse {
+	return &ClaimResponse{Verdict: verdicts[r.Verdict], Epoch: r.Epoch, Held: FromRecord(r.Held)}
+}
+
+// ToReply reads the message form of a keeper's reply. A verdict that is not
+// known counts as not ready, which grants nothing.
+func ToReply(r *ClaimResponse) claim.Reply {
+	out := claim.Reply{Verdict: claim.NotReady, Epoch: r.Epoch, Held: ToRecord(r.Held)}
+	for v, msg := range verdicts {
+		if msg == r.Verdict {
+			out.Verdict = v
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/src/serve/follow.go
@@ -0,0 +1,140 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/crankridge/crankridge/src/claim"
+	"github.com/crankridge/crankridge/src/peer"
+	"github.com/crankridge/crankridge/src/request"
+)
+
+const (
+	readWait    = 2 * time.Second
+	readSlack   = 2 * time.Second
+	readTries   = 3
+	readBackoff = 50 * time.Millisecond
+)
+
+// follow copies the flight of the coordinator that holds the key into this
+// one. When the coordinator is lost on the way, a repeatable request is taken
+// over, and of another it is said that it may have run.
+func (c *Coordinator) follow(ctx context.Context, f *request.Flight, a Ask, holder claim.Attempt) request.Answer {
+	failed := 0
+	for ctx.Err() == nil {
+		_, have := f.Given()
+		resp, err := c.read(ctx, holder, f.Key, have)
+		if err != nil || !resp.Found {
+			failed++
+			if failed >= readTries {
+				return c.orphaned(ctx, f, a, holder)
+			}
+			pause(ctx, request.Jitter(readBackoff<<failed))
+			continue
+		}
+		failed = 0
+		for _, ev := range resp.Events {
+			if _, have := f.Given(); int(ev.Id) == have+1 {
+				f.Append(ev.Text)
+			}
+		}
+		if resp.Done {
+			r, err := request.DecodeAnswer(resp.Answer)
+			if err == nil {
+				return r
+			}
+			return c.orphaned(ctx, f, a, holder)
+		}
+	}
+	return c.ended(f, a)
+}
+
+func (c *Coordinator) read(ctx context.Context, holder claim.Attempt, key string, after int) (*peer.ReadResponse, error) {
+	if holder.Node == c.Self.Name && holder.Incarnation == c.Self.Incarnation {
+		return c.Read(ctx, &peer.ReadRequest{Key: key, After: int64(after), WaitMs: int32(readWait.Milliseconds())})
+	}
+	ctx, cancel := context.WithTimeout(ctx, readWait+readSlack)
+	defer cancel()
+	return c.Pool.To(holder.Addr).Read(ctx, &peer.ReadRequest{Key: key, After: int64(after), WaitMs: int32(readWait.Milliseconds())})
+}
+
+// orphaned decides on a request whose coordinator is lost: its keepers may
+// have the answer; else a repeatable one is claimed anew.
+func (c *Coordinator) orphaned(ctx context.Context, f *request.Flight, a Ask, holder claim.Attempt) request.Answer {
+	rec := c.lookup(ctx, f.Key)
+	if rec != nil && len(rec.Answer) > 0 {
+		if r, err := request.DecodeAnswer(rec.Answer); err == nil {
+			c.replay(f, &r)
+			return r
+		}
+	}
+	if !a.Repeatable || rec != nil && !rec.Repeatable {
+		return c.unsure(f, holder)
+	}
+	c.explain.Add(f.Key, "taken over", "its coordinator "+holder.Node+" is lost")
+	var place *claim.Attempt
+	if rec != nil && len(rec.Attempts) == 1 && rec.Attempts[0].Engine != "" {
+		place = &rec.Attempts[0]
+	}
+	// The attempt of this flight was given up when it joined the lost one.
+	f.Attempt = uuid.NewString()
+	c.Attempts.Begin(f.Attempt, c.Now())
+	c.askKeepers(ctx, f, a, []string{holder.ID})
+	return c.send(ctx, f, a, place)
+}
+
+// Record is what the keepers hold of a key, or nil.
+func (c *Coordinator) Record(ctx context.Context, full string) *claim.Record {
+	return c.lookup(ctx, full)
+}
+
+// lookup asks the keepers for a key's record; one with an answer wins.
+func (c *Coordinator) lookup(ctx context.Context, key string) *claim.Record {
+	m := c.Shards()
+	if m == nil {
+		return nil
+	}
+	shard := claim.ShardOf(key, len(m.Shards))
+	keepers := m.Shards[shard].Keepers
+	ctx, cancel := context.WithTimeout(ctx, c.Set.Claims.Timeout)
+	defer cancel()
+	found := make(chan *claim.Record, len(keepers))
+	for _, k := range keepers {
+		go func() {
+			if k.Name == c.Self.Name {
+				found <- c.Ledger.Lookup(shard, key)
+				return
+			}
+			resp, err := c.Pool.To(k.Addr).Lookup(ctx, &peer.LookupRequest{Shard: int32(shard), Key: key})
+			if err != nil {
+				found <- nil
+				return
+			}
+			found <- peer.ToRecord(resp.Record)
+		}()
+	}
+	var best *claim.Record
+	for range keepers {
+		if r := <-found; r != nil && (best == nil || len(best.Answer) == 0) {
+			best = r
+		}
+	}
+	return best
+}
+
+// ended is the answer to a flight whose time is up or that was cancelled.
+func (c *Coordinator) ended(f *request.Flight, a Ask) request.Answer {
+	if c.Attempts.Release(f.Attempt, c.Now()) {
+		return request.Refuse(http.StatusGatewayTimeout, codeDeadline, "the request's time was up before it was sent", request.Jitter(time.Second))
+	}
+	if c.ending.Err() != nil {
+		return request.Unsure(codeNodeStopped, "this node stops; ask at another address by the same key", request.Jitter(time.Second))
+	}
+	if c.Now().Before(a.Deadline) {
+		return request.Answer{Outcome: request.Cancelled, Status: statusCancelled, Code: codeCancelled, Message: "the request was cancelled"}
+	}
+	return request.Answer{Outcome: request.MayHaveRun, Status: http.StatusGatewayTimeout, Code: codeDeadline, Message: "the request's time was up while it ran"}
+}
--- /dev/null
+++ b/src/serve/lanes.go
@@ -0,0 +1,259 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/crankridge/crankridge/src/admit"
+	"github.com/crankridge/crankridge/src/engine"
+	"github.com/crankridge/crankridge/src/request"
+	"github.com/crankridge/crankridge/src/route"
+	"github.com/crankridge/crankridge/src/upstream"
+)
+
+const (
+	pumpEvery    = 10 * time.Millisecond
+	holdNew      = 0.05 // weight of a new reading of how long a slot is held
+	holdFirst    = 2.0  // seconds, before any reading
+	retryLeast   = 500 * time.Millisecond
+	retryNoModel = 5 * time.Second
+	bytesPerTok  = 5.0
+)
+
+// lanes holds one queue a model. A request leaves its queue when some engine
+// has room for it, in the fair order.
+type lanes struct {
+	c     *Coordinator
+	mu    sync.Mutex
+	lanes map[string]*lane
+	wake  chan struct{}
+}
+
+type lane struct {
+	queue *admit.Queue
+	hold  float64 // seconds for which a request holds a slot, measured
+}
+
+// waiter is a queued request; it is answered by its channel.
+type waiter struct {
+	text   int
+	blocks []uint64
+	got    chan granted
+}
+
+// granted is a place at an engine; end gives it back.
+type granted struct {
+	route.Choice
+	end func()
+}
+
+func (l *lanes) start(c *Coordinator) {
+	l.c = c
+	l.lanes = map[string]*lane{}
+	l.wake = make(chan struct{}, 1)
+	go l.run()
+}
+
+func (l *lanes) lane(model string) *lane {
+	ln := l.lanes[model]
+	if ln == nil {
+		ln = &lane{queue: admit.NewQueue(l.c.Set.Limits.QueueEntries, l.c.Set.Limits.QueueBytes), hold: holdFirst}
+		l.lanes[model] = ln
+	}
+	return ln
+}
+
+// run pumps the queues when something changed, and now and then, since
+// reports age by themselves.
+func (l *lanes) run() {
+	tick := time.NewTicker(pumpEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-l.wake:
+		case <-tick.C:
+		}
+		l.mu.Lock()
+		for model, ln := range l.lanes {
+			l.pump(model, ln)
+		}
+		l.mu.Unlock()
+	}
+}
+
+func (l *lanes) kick() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *lanes) pump(model string, ln *lane) {
+	for ln.queue.Len() > 0 {
+		if !l.room(model) {
+			return
+		}
+		e := ln.queue.Pop()
+		w := e.Value.(*waiter)
+		g, ok := l.place(model, w, nil, "")
+		if !ok {
+			ln.queue.Push(e)
+			return
+		}
+		w.got <- g
+	}
+}
+
+// room tells whether any engine of the model has a slot left.
+func (l *lanes) room(model string) bool {
+	for _, c := range l.c.candidates(model, nil) {
+		if l.fits(c) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *lanes) fits(c upstream.Candidate) bool {
+	return c.Busy < c.Slots*l.c.Set.Routing.Overshoot
+}
+
+// place chooses an engine and counts the request to it. prefer names the
+// engine to take when it is a candidate, "" for none.
+func (l *lanes) place(model string, w *waiter, avoid map[string]bool, prefer string) (granted, bool) {
+	cands := l.c.candidates(model, w.blocks)
+	if i := slices.IndexFunc(cands, func(c upstream.Candidate) bool { return c.Name == prefer }); i >= 0 {
+		cands = cands[i : i+1]
+	}
+	choice, ok := l.c.choose(cands, route.Request{
+		PromptBytes: w.text, Blocks: w.blocks, Avoid: avoid, AvoidDomain: l.c.Registry.LeavingDomains(),
+	})
+	if !ok {
+		return granted{}, false
+	}
+	uncached := max(float64(w.text)/bytesPerTok-float64(choice.CachedBlocks)*blockTokens*choice.Belief, 1)
+	return granted{choice, l.c.Registry.Begin(choice.Name, uncached, w.blocks)}, true
+}
+
+// blockTokens is how many tokens a prefix block holds on average.
+const blockTokens = 256 / bytesPerTok
+
+// acquire gets a place for a new request: at once when an engine has room,
+// else by the queue. It refuses at once what cannot meet its latency.
+func (c *Coordinator) acquire(ctx context.Context, f *request.Flight, a Ask) (granted, *request.Answer) {
+	text := a.Completion.Text()
+	w := &waiter{text: len(text), blocks: engine.Blocks(text), got: make(chan granted, 1)}
+	e, g, refusal := c.lanes.enter(a, w)
+	if e == nil {
+		return g, refusal
+	}
+	select {
+	case g := <-w.got:
+		return g, nil
+	case <-ctx.Done():
+	}
+	c.lanes.mu.Lock()
+	c.lanes.lane(a.Completion.Model).queue.Remove(e)
+	c.lanes.mu.Unlock()
+	select {
+	case g := <-w.got:
+		g.end()
+	default:
+	}
+	r := c.ended(f, a)
+	return granted{}, &r
+}
+
+func (l *lanes) enter(a Ask, w *waiter) (*admit.Entry, granted, *request.Answer) {
+	model := a.Completion.Model
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cands := l.c.candidates(model, w.blocks)
+	if len(cands) == 0 {
+		r := request.Refuse(http.StatusServiceUnavailable, codeNoUpstream, "no engine holds model "+model+" just now", request.Jitter(retryNoModel))
+		return nil, granted{}, &r
+	}
+	ln := l.lane(model)
+	if ln.queue.Len() == 0 && l.room(model) {
+		if g, ok := l.place(model, w, nil, ""); ok {
+			if over := g.FirstToken - l.target(a); over > 0 {
+				g.end()
+				return nil, granted{}, refuseLate(over)
+			}
+			return nil, g, nil
+		}
+	}
+	wait := ln.wait(cands, a.Target.Priority, len(l.c.Fleet.Nodes()))
+	if over := wait - l.target(a); over > 0 {
+		return nil, granted{}, refuseLate(over)
+	}
+	e := &admit.Entry{
+		Customer: a.Customer, Weight: a.Target.Share, Priority: a.Target.Priority, Cost: 1, Bytes: w.text, Since: l.c.Now(), Value: w,
+	}
+	if !ln.queue.Push(e) {
+		return nil, granted{}, refuseLate(wait)
+	}
+	return e, granted{}, nil
+}
+
+func refuseLate(over time.Duration) *request.Answer {
+	r := request.Refuse(http.StatusTooManyRequests, codeOverload, "the first token would come too late; nothing was sent", request.Jitter(max(over, retryLeast)))
+	return &r
+}
+
+func (l *lanes) target(a Ask) time.Duration {
+	if a.Target.FirstToken > 0 {
+		return a.Target.FirstToken
+	}
+	return l.c.Set.Limits.FirstToken
+}
+
+// wait estimates when a request entering now would start: those ahead of it,
+// over the rate at which this node's part of the slots comes free.
+func (ln *lane) wait(cands []upstream.Candidate, priority, nodes int) time.Duration {
+	slots := 0.0
+	for _, c := range cands {
+		slots += c.Slots
+	}
+	rate := slots / ln.hold / float64(max(nodes, 1))
+	return time.Duration((ln.queue.Ahead(priority) + 1) / rate * float64(time.Second))
+}
+
+// held takes in how long a request held its slot.
+func (l *lanes) held(model string, d time.Duration) {
+	l.mu.Lock()
+	ln := l.lane(model)
+	ln.hold += holdNew * (d.Seconds() - ln.hold)
+	l.mu.Unlock()
+	l.kick()
+}
+
+// candidates are the engines of the model that this node follows.
+func (c *Coordinator) candidates(model string, blocks []uint64) []upstream.Candidate {
+	cands := c.Registry.Candidates(model, blocks)
+	size := c.Set.Routing.Subset
+	if size <= 0 || size >= len(cands) {
+		return cands
+	}
+	domains := map[string]string{}
+	for _, cand := range cands {
+		domains[cand.Name] = cand.FailureDomain
+	}
+	mine := route.Subset(domains, c.Self.Name, size)
+	var out []upstream.Candidate
+	for _, cand := range cands {
+		if mine[cand.Name] {
+			out = append(out, cand)
+		}
+	}
+	return out
+}
+
+func (c *Coordinator) choose(cands []upstream.Candidate, r route.Request) (route.Choice, bool) {
+	c.choosers.mu.Lock()
+	defer c.choosers.mu.Unlock()
+	return c.choosers.chooser.Choose(cands, r, c.choosers.rng)
+}
--- /dev/null
+++ b/src/serve/report.go
@@ -0,0 +1,144 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/crankridge/crankridge/src/peer"
+	"github.com/crankridge/crankridge/src/request"
+	"github.com/crankridge/crankridge/src/telemetry"
+	"github.com/crankridge/crankridge/src/upstream"
+)
+
+func readResponse(after int64, tokens []string, answer *request.Answer) *peer.ReadResponse {
+	out := &peer.ReadResponse{Found: true}
+	more := len(tokens) > readBatch
+	if more {
+		tokens = tokens[:readBatch]
+	}
+	for i, t := range tokens {
+		out.Events = append(out.Events, &peer.Event{Id: after + int64(i) + 1, Text: t})
+	}
+	if answer != nil && !more {
+		out.Done = true
+		out.Answer = answer.Encode()
+	}
+	return out
+}
+
+func (c *Coordinator) logEnd(f *request.Flight, a Ask, answer request.Answer) {
+	up, _ := f.Place()
+	if a.Call != nil {
+		up = a.Call.Service
+	}
+	_, n := f.Given()
+	klog.InfoS("request", "key", a.Key, "customer", a.Customer, "upstream", up, "outcome", answer.Outcome,
+		"status", answer.Status, "code", answer.Code, "tokens", n, "ms", c.Now().Sub(f.Began).Milliseconds())
+}
+
+// Poll asks each followed engine for its report unless one came on an answer
+// within the interval, until ctx ends.
+func (c *Coordinator) Poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, name := range c.Registry.Names(upstream.KindEngine) {
+			age, ok := c.Registry.ReportAge(name)
+			if ok && age >= c.Set.Routing.Report && c.follows(name) {
+				go c.pollOne(ctx, name)
+			}
+		}
+		pause(ctx, request.Jitter(c.Set.Routing.Report))
+	}
+}
+
+func (c *Coordinator) follows(name string) bool {
+	p, ok := c.Registry.Get(name)
+	if !ok {
+		return false
+	}
+	for _, m := range p.Models {
+		for _, cand := range c.candidates(m.Name, nil) {
+			if cand.Name == name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *Coordinator) pollOne(ctx context.Context, name string) {
+	p, ok := c.Registry.Get(name)
+	if !ok {
+		return
+	}
+	st, err := c.Engines.State(ctx, p.Addr, c.Registry.CacheSeq(name))
+	if err != nil {
+		c.Registry.Failed(name, true)
+		return
+	}
+	c.Registry.Report(name, time.UnixMilli(st.AtMS), float64(st.Running), float64(st.Waiting), float64(st.QueuedTokens), st.StepMS)
+	c.Registry.CacheEvents(name, st.CacheSeq, st.Cache)
+	c.Registry.Succeeded(name)
+	if st.LeavingMS > 0 {
+		c.Registry.Leave(name, time.UnixMilli(st.LeavingMS))
+	}
+}
+
+// Explain returns what was decided about a key or an upstream, "" for all.
+func (c *Coordinator) Explain(subject string) []telemetry.Decision { return c.explain.About(subject) }
+
+// FlightDump is a request as the state dump shows it.
+type FlightDump struct {
+	Key        string          `json:"key"`
+	Repeatable bool            `json:"repeatable"`
+	Priority   int             `json:"priority"`
+	AgeMS      int64           `json:"age_ms"`
+	Tokens     int             `json:"tokens"`
+	Engine     string          `json:"engine,omitempty"`
+	Outcome    request.Outcome `json:"outcome,omitempty"`
+}
+
+const dumpedFlights = 200
+
+// Flights returns up to a bounded number of requests for the state dump.
+func (c *Coordinator) Flights() []FlightDump {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []FlightDump
+	for _, f := range c.flights {
+		if len(out) == dumpedFlights {
+			break
+		}
+		_, n := f.Given()
+		d := FlightDump{Key: f.Key, Repeatable: f.Repeatable, Priority: f.Priority, AgeMS: c.Now().Sub(f.Began).Milliseconds(), Tokens: n}
+		d.Engine, _ = f.Place()
+		if a := f.Answer(); a != nil {
+			d.Outcome = a.Outcome
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+// QueueDump is a model's queue as the state dump shows it.
+type QueueDump struct {
+	Model   string  `json:"model"`
+	Waiting int     `json:"waiting"`
+	Bytes   int     `json:"bytes"`
+	HoldS   float64 `json:"hold_s"`
+}
+
+// Queues returns the admission queues for the state dump.
+func (c *Coordinator) Queues() []QueueDump {
+	c.lanes.mu.Lock()
+	defer c.lanes.mu.Unlock()
+	var out []QueueDump
+	for model, ln := range c.lanes.lanes {
+		out = append(out, QueueDump{model, ln.queue.Len(), ln.queue.Bytes(), ln.hold})
+	}
+	return out
+}
+
+// Retries tells how many retries the node may still make.
+func (c *Coordinator) Retries() float64 { return c.budget.Have() }
--- /dev/null
+++ b/src/standin/kv.go
@@ -0,0 +1,370 @@
+// Package standin holds small fakes of the services outside the system, for
+// tests and the demo. Each has switchable faults under /admin/.
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/crankridge/crankridge/src/platform"
+)
+
+const (
+	kvHistory      = 20000
+	leaseSweep     = 200 * time.Millisecond
+	watchProgress  = 2 * time.Second
+	maxRequestBody = 64 << 20
+)
+
+// KVFaults are the ways in which the key-value service can fail.
+type KVFaults struct {
+	Down        bool `json:"down"`
+	DelayMS     int  `json:"delay_ms"`
+	LoseAnswers int  `json:"lose_answers"` // how many of the next writes take effect unanswered
+	StaleReads  bool `json:"stale_reads"`  // lists answer as of the time this was set
+}
+
+// KV is the key-value service.
+type KV struct {
+	mu      sync.Mutex
+	rev     int64
+	data    map[string]platform.WireKV
+	history []platform.WireEvent
+	floor   int64
+	leases  map[int64]*kvLease
+	next    int64
+	changed chan struct{}
+	down    chan struct{}
+	faults  KVFaults
+	stale   *platform.WireRangeResult
+	calls   map[string]int64
+}
+
+type kvLease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// NewKV returns an empty service. Its lease sweep ends with the process.
+func NewKV() *KV {
+	k := &KV{
+		data: map[string]platform.WireKV{}, leases: map[int64]*kvLease{},
+		changed: make(chan struct{}), down: make(chan struct{}), calls: map[string]int64{},
+	}
+	go k.sweep()
+	return k
+}
+
+// Handler serves the API and the admin calls.
+func (k *KV) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/admin/faults", k.setFaults).Methods(http.MethodPost)
+	r.HandleFunc("/admin/calls", k.showCalls).Methods(http.MethodGet)
+	r.HandleFunc("/v3/kv/range", k.guard("range", k.serveRange))
+	r.HandleFunc("/v3/kv/txn", k.guard("txn", k.serveTxn))
+	r.HandleFunc("/v3/lease/grant", k.guard("grant", k.serveGrant))
+	r.HandleFunc("/v3/lease/keepalive", k.guard("keepalive", k.serveKeepAlive))
+	r.HandleFunc("/v3/lease/revoke", k.guard("revoke", k.serveRevoke))
+	r.HandleFunc("/v3/watch", k.guard("watch", k.serveWatch))
+	return r
+}
+
+func (k *KV) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f KVFaults
+	if !readJSON(w, r, &f) {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if f.Down && !k.faults.Down {
+		close(k.down)
+	}
+	if !f.Down && k.faults.Down {
+		k.down = make(chan struct{})
+	}
+	k.stale = nil
+	if f.StaleReads {
+		all := k.rangeOf([]byte(platformAll), []byte{0xff})
+		k.stale = &all
+	}
+	k.faults = f
+}
+
+const platformAll = "\x01"
+
+func (k *KV) showCalls(w http.ResponseWriter, _ *http.Request) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	writeJSON(w, http.StatusOK, k.calls)
+}
+
+// guard counts the call and brings about the faults that are set.
+func (k *KV) guard(kind string, serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		k.mu.Lock()
+		k.calls[kind]++
+		f := k.faults
+		k.mu.Unlock()
+		if f.DelayMS > 0 {
+			time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+		}
+		if f.Down {
+			panic(http.ErrAbortHandler)
+		}
+		serve(w, r)
+	}
+}
+
+func (k *KV) serveRange(w http.ResponseWriter, r *http.Request) {
+	var req platform.WireRange
+	if !readJSON(w, r, &req) {
+		return
+	}
+	k.mu.Lock()
+	res := k.rangeOf(req.Key, req.RangeEnd)
+	if k.stale != nil {
+		res = staleRange(*k.stale, req)
+	}
+	k.mu.Unlock()
+	writeJSON(w, http.StatusOK, res)
+}
+
+func staleRange(all platform.WireRangeResult, req platform.WireRange) platform.WireRangeResult {
+	out := platform.WireRangeResult{Header: all.Header}
+	for _, kv := range all.KVs {
+		if inRange(kv.Key, req.Key, req.RangeEnd) {
+			out.KVs = append(out.KVs, kv)
+		}
+	}
+	return out
+}
+
+func inRange(key, from, end []byte) bool {
+	if len(end) == 0 {
+		return bytes.Equal(key, from)
+	}
+	return bytes.Compare(key, from) >= 0 && bytes.Compare(key, end) < 0
+}
+
+func (k *KV) rangeOf(from, end []byte) platform.WireRangeResult {
+	res := platform.WireRangeResult{Header: platform.WireHeader{Revision: k.rev}}
+	for _, kv := range k.data {
+		if inRange(kv.Key, from, end) {
+			res.KVs = append(res.KVs, kv)
+		}
+	}
+	slices.SortFunc(res.KVs, func(a, b platform.WireKV) int { return bytes.Compare(a.Key, b.Key) })
+	return res
+}
+
+func (k *KV) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var req platform.WireTxn
+	if !readJSON(w, r, &req) {
+		return
+	}
+	k.mu.Lock()
+	res, ok := k.txn(req)
+	lose := ok && res.Succeeded && k.faults.LoseAnswers > 0
+	if lose {
+		k.faults.LoseAnswers--
+	}
+	k.mu.Unlock()
+	switch {
+	case lose:
+		panic(http.ErrAbortHandler)
+	case !ok:
+		http.Error(w, `{"message":"requested lease not found"}`, http.StatusNotFound)
+	default:
+		writeJSON(w, http.StatusOK, res)
+	}
+}
+
+func (k *KV) txn(req platform.WireTxn) (platform.WireTxnResult, bool) {
+	ops := req.Success
+	won := true
+	for _, c := range req.Compare {
+		won = won && k.data[string(c.Key)].ModRevision == c.ModRevision
+	}
+	if !won {
+		ops = req.Failure
+	}
+	res := platform.WireTxnResult{Succeeded: won}
+	for _, op := range ops {
+		var out platform.WireOpResult
+		switch {
+		case op.Range != nil:
+			rr := k.rangeOf(op.Range.Key, op.Range.RangeEnd)
+			out.Range = &rr
+		case op.Put != nil:
+			if op.Put.Lease != 0 && k.leases[op.Put.Lease] == nil {
+				return res, false
+			}
+			k.put(*op.Put)
+		case op.Delete != nil:
+			k.remove(string(op.Delete.Key))
+		}
+		res.Responses = append(res.Responses, out)
+	}
+	res.Header.Revision = k.rev
+	return res, true
+}
+
+func (k *KV) put(p platform.WirePut) {
+	k.rev++
+	kv := platform.WireKV{Key: p.Key, Value: p.Value, ModRevision: k.rev, Lease: p.Lease}
+	k.data[string(p.Key)] = kv
+	k.record(platform.WireEvent{KV: kv})
+}
+
+func (k *KV) remove(key string) {
+	if _, ok := k.data[key]; !ok {
+		return
+	}
+	k.rev++
+	delete(k.data, key)
+	k.record(platform.WireEvent{Type: platform.EventDelete, KV: platform.WireKV{Key: []byte(key), ModRevision: k.rev}})
+}
+
+func (k *KV) record(ev platform.WireEvent) {
+	k.history = append(k.history, ev)
+	if len(k.history) > kvHistory {
+		k.floor = k.history[0].KV.ModRevision
+		k.history = k.history[1:]
+	}
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+func (k *KV) serveGrant(w http.ResponseWriter, r *http.Request) {
+	var req platform.WireLease
+	if !readJSON(w, r, &req) {
+		return
+	}
+	k.mu.Lock()
+	k.next++
+	id := k.next
+	ttl := time.Duration(req.TTL) * time.Second
+	k.leases[id] = &kvLease{ttl: ttl, ends: time.Now().Add(ttl)}
+	k.mu.Unlock()
+	writeJSON(w, http.StatusOK, platform.WireLease{ID: id, TTL: req.TTL})
+}
+
+func (k *KV) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
+	var req platform.WireLease
+	if !readJSON(w, r, &req) {
+		return
+	}
+	var out platform.WireKeepAlive
+	k.mu.Lock()
+	if l := k.leases[req.ID]; l != nil {
+		l.ends = time.Now().Add(l.ttl)
+		out.Result = platform.WireLease{ID: req.ID, TTL: int64(l.ttl / time.Second)}
+	}
+	k.mu.Unlock()
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (k *KV) serveRevoke(w http.ResponseWriter, r *http.Request) {
+	var req platform.WireLease
+	if !readJSON(w, r, &req) {
+		return
+	}
+	k.mu.Lock()
+	k.lapse(req.ID)
+	k.mu.Unlock()
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (k *KV) lapse(id int64) {
+	delete(k.leases, id)
+	for key, kv := range k.data {
+		if kv.Lease == id {
+			k.remove(key)
+		}
+	}
+}
+
+func (k *KV) sweep() {
+	for range time.Tick(leaseSweep) {
+		k.mu.Lock()
+		// An outage of the service does not lapse leases: nobody could renew them.
+		for id, l := range k.leases {
+			if time.Now().After(l.ends) && !k.faults.Down {
+				k.lapse(id)
+			}
+		}
+		k.mu.Unlock()
+	}
+}
+
+func (k *KV) serveWatch(w http.ResponseWriter, r *http.Request) {
+	var req platform.WireWatchCreate
+	if !readJSON(w, r, &req) {
+		return
+	}
+	enc := json.NewEncoder(w)
+	from := req.Create.StartRevision
+	for first := true; ; first = false {
+		k.mu.Lock()
+		msg, canceled := k.batch(req, from)
+		from = max(from, msg.Result.Header.Revision+1)
+		changed, down := k.changed, k.down
+		k.mu.Unlock()
+		if first || canceled || len(msg.Result.Events) > 0 || req.Create.Progress {
+			if enc.Encode(msg) != nil || canceled {
+				return
+			}
+			w.(http.Flusher).Flush()
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-down:
+			panic(http.ErrAbortHandler)
+		case <-changed:
+		case <-time.After(watchProgress):
+		}
+	}
+}
+
+func (k *KV) batch(req platform.WireWatchCreate, from int64) (platform.WireWatchResult, bool) {
+	var msg platform.WireWatchResult
+	msg.Result.Header.Revision = k.rev
+	if from <= k.floor {
+		msg.Result.Canceled = true
+		msg.Result.CompactRevision = k.floor + 1
+		return msg, true
+	}
+	at, _ := slices.BinarySearchFunc(k.history, from, func(ev platform.WireEvent, rev int64) int {
+		return int(ev.KV.ModRevision - rev)
+	})
+	for _, ev := range k.history[at:] {
+		if inRange(ev.KV.Key, req.Create.Key, req.Create.RangeEnd) {
+			msg.Result.Events = append(msg.Result.Events, ev)
+		}
+	}
+	return msg, false
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBody)).Decode(into)
+	if err != nil {
+		http.Error(w, "bad body: "+err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func pathTail(p, prefix string) string { return strings.TrimPrefix(p, prefix) }
--- /dev/null
+++ b/src/standin/run.go
@@ -0,0 +1,92 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"k8s.io/klog/v2"
+
+	"github.com/crankridge/crankridge/src/engine"
+	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/settings"
+)
+
+// Run serves all fakes of the settings until ctx ends.
+func Run(ctx context.Context, set settings.Standin) error {
+	var servers []*http.Server
+	defer func() {
+		for _, s := range servers {
+			_ = s.Close()
+		}
+	}()
+	add := func(name, addr string, h http.Handler) error {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return err
+		}
+		srv := &http.Server{Handler: h}
+		servers = append(servers, srv)
+		go func() { _ = srv.Serve(ln) }()
+		klog.V(1).InfoS("standin", "name", name, "addr", addr)
+		return nil
+	}
+	for _, part := range partsOf(set) {
+		if err := add(part.name, part.addr, part.handler); err != nil {
+			return err
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+type part struct {
+	name, addr string
+	handler    http.Handler
+}
+
+func partsOf(set settings.Standin) []part {
+	var out []part
+	if set.KV != nil {
+		out = append(out, part{"kv", set.KV.Listen, NewKV().Handler()})
+	}
+	if set.Weights != nil {
+		out = append(out, part{"weights", set.Weights.Listen, NewWeights(set.Weights.Rate).Handler()})
+	}
+	for _, e := range set.Engines {
+		version := e.Version
+		if version == "" {
+			version = "1"
+		}
+		var models []engine.Loaded
+		for _, m := range e.Models {
+			models = append(models, engine.Loaded{Name: m, Version: version})
+		}
+		out = append(out, part{e.Name, e.Listen, NewEngine(e.Name, EngineShape(e.Shape), e.Weights, models...).Handler()})
+	}
+	for _, s := range set.Services {
+		out = append(out, part{s.Name, s.Listen, NewService(s.Name, s.ChecksFencing).Handler()})
+	}
+	if set.Cloud != nil {
+		out = append(out, part{"cloud", set.Cloud.Listen, cloudOf(*set.Cloud).Handler()})
+	}
+	return out
+}
+
+func cloudOf(c settings.StandinCloud) *Cloud {
+	var vms []platform.VM
+	for _, v := range c.VMs {
+		vms = append(vms, platform.VM{
+			ID: v.Name, Name: v.Name, Class: v.Class, FailureDomain: v.FailureDomain, Region: v.Region, Reclaimable: v.Reclaimable,
+			Address: v.Address, Role: v.Role, Service: v.Service, HourPrice: v.HourPrice,
+		})
+	}
+	var offers []platform.Offer
+	for _, o := range c.Offers {
+		offers = append(offers, platform.Offer{
+			Class: o.Class, FailureDomain: o.FailureDomain, Region: o.Region, Reclaimable: o.Reclaimable,
+			HourPrice: o.HourPrice, ReclaimPerDay: o.ReclaimPerDay, BootMS: o.Boot.Milliseconds(),
+		})
+	}
+	return NewCloud(vms, offers, EngineShape(c.Shape), c.Weights)
+}
--- /dev/null
+++ b/src/view/follow.go
@@ -0,0 +1,60 @@
+package view
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"k8s.io/klog/v2"
+
+	"github.com/crankridge/crankridge/src/platform"
+)
+
+const (
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 3 * time.Second
+)
+
+// Follow keeps the view in step with the key-value service until ctx ends: a
+// listing first, then a watch from the revision after it. A broken watch is
+// taken up where it ended; only a compacted history costs another listing.
+func (v *View) Follow(ctx context.Context, kv *platform.KV) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = retryFirst
+	wait.MaxInterval = retryMost
+	list := true
+	for ctx.Err() == nil {
+		err := v.step(ctx, kv, &list, wait.Reset)
+		if ctx.Err() != nil {
+			return
+		}
+		klog.V(1).InfoS("view_follow", "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+func (v *View) step(ctx context.Context, kv *platform.KV, list *bool, well func()) error {
+	if *list {
+		items, rev, err := kv.List(ctx, Prefix)
+		if err != nil {
+			return err
+		}
+		v.ApplyList(items, rev)
+		*list = false
+	}
+	// Peers may have moved the view past what this watch saw; starting at the
+	// complete revision is right in both cases.
+	from, _ := v.Complete()
+	err := kv.Watch(ctx, Prefix, from+1, func(b platform.Batch) {
+		well()
+		v.ApplyBatch(b)
+	})
+	if errors.Is(err, platform.ErrCompacted) {
+		*list = true
+	}
+	return err
+}
