--- a/src/entry/node.go
+++ b/src/entry/node.go
@@ -118,7 +118,7 @@
 	} {
 		go loop(life)
 	}
-	deadline := time.Now().Add(n.set.Stop.TTL + n.set.Stop.Grace)
+	var deadline time.Time
 	select {
 	case <-ctx.Done():
 		deadline = time.Now().Add(n.set.Stop.TTL + n.set.Stop.Grace)
--- a/src/serve/claims.go
+++ b/src/serve/claims.go
@@ -36,9 +36,6 @@
 
 // claimKey makes this flight's attempt the holder of its key, or finds out who is.
 func (c *Coordinator) claimKey(ctx context.Context, f *request.Flight, a Ask) claimResult {
-	if r := c.tooOld(a); r != nil {
-		return claimResult{answer: r}
-	}
 	var superseded []string
 	first := true
 	var place *claim.Attempt
@@ -49,7 +46,12 @@
 		if ctx.Err() != nil {
 			break
 		}
-		tally, m := c.askKeepers(ctx, f, a, superseded)
+		// Looked at anew each round: the shard may have lost its records since.
+		m := c.Shards()
+		if r := c.tooOld(a, m); r != nil {
+			return claimResult{answer: r}
+		}
+		tally := c.askKeepers(ctx, m, f, a, superseded)
 		switch tally.Decide() {
 		case claim.Granted:
 			c.Metrics.Claim("granted")
@@ -93,7 +95,7 @@
 
 // tooOld refuses keys whose records are gone, or may be: older than the
 // window, or possibly used before the shard lost its records.
-func (c *Coordinator) tooOld(a Ask) *request.Answer {
+func (c *Coordinator) tooOld(a Ask, m *claim.Map) *request.Answer {
 	if a.Repeatable {
 		return nil
 	}
@@ -103,7 +105,6 @@
 		r := request.Unsure(codeKeyExpired, "this key is older than the time for which records are kept; use a new key once you know the request's fate", 0)
 		return &r
 	}
-	m := c.Shards()
 	if m == nil || a.Fresh {
 		return nil
 	}
@@ -116,10 +117,9 @@
 }
 
 // askKeepers sends one round of claims and returns as soon as it is decided.
-func (c *Coordinator) askKeepers(ctx context.Context, f *request.Flight, a Ask, superseded []string) (*claim.Tally, *claim.Map) {
-	m := c.Shards()
+func (c *Coordinator) askKeepers(ctx context.Context, m *claim.Map, f *request.Flight, a Ask, superseded []string) *claim.Tally {
 	if m == nil {
-		return &claim.Tally{Need: claim.Majority}, nil
+		return &claim.Tally{Need: claim.Majority}
 	}
 	shard := claim.ShardOf(f.Key, len(m.Shards))
 	def := m.Shards[shard]
@@ -140,7 +140,7 @@
 	}
 	// The last keeper's copy still matters; it is not called off.
 	time.AfterFunc(c.Set.Claims.Timeout, cancel)
-	return t, m
+	return t
 }
 
 func (c *Coordinator) need(def claim.Shard) int {
--- a/src/serve/completion.go
+++ b/src/serve/completion.go
@@ -322,7 +322,7 @@
 	case base > 0:
 	case a.Fresh && !a.Given && a.Repeatable:
 		// Nobody can have used the key, so its claim is for later readers only.
-		go c.askKeepers(context.Background(), f, a, nil)
+		go c.askKeepers(context.Background(), c.Shards(), f, a, nil)
 	default:
 		c.tellKeepers(f, &peer.SettleRequest{Engine: engine, Stream: id})
 	}
--- a/src/serve/follow.go
+++ b/src/serve/follow.go
@@ -82,7 +82,7 @@
 	// The attempt of this flight was given up when it joined the lost one.
 	f.Attempt = uuid.NewString()
 	c.Attempts.Begin(f.Attempt, c.Now())
-	c.askKeepers(ctx, f, a, []string{holder.ID})
+	c.askKeepers(ctx, c.Shards(), f, a, []string{holder.ID})
 	return c.send(ctx, f, a, place)
 }
 
--- a/src/settings/load.go
+++ b/src/settings/load.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/url"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -28,8 +29,13 @@
 	if err != nil {
 		return oops.Wrapf(errors.Join(ErrInvalid, err), "read settings")
 	}
-	dec := yaml.NewDecoder(bytes.NewReader(raw), yaml.Strict())
-	if err := dec.Decode(into); err != nil {
+	dec := yaml.NewDecoder(bytes.NewReader(raw), yaml.Strict(), yaml.CustomUnmarshaler(readDuration))
+	err = dec.Decode(into)
+	var wrong wrongDuration
+	if errors.As(err, &wrong) {
+		return oops.Wrapf(ErrInvalid, "%s: %s", path, wrong.at(string(raw)))
+	}
+	if err != nil {
 		return oops.Wrapf(ErrInvalid, "%s: %s", path, yaml.FormatError(err, false, true))
 	}
 	if err := into.check(); err != nil {
@@ -38,6 +44,29 @@
 	return nil
 }
 
+// wrongDuration is a text that is no duration. The library does not say where
+// it stands, so it is looked for in the file.
+type wrongDuration struct{ text string }
+
+func (w wrongDuration) Error() string { return "wrong duration " + w.text }
+
+func (w wrongDuration) at(file string) string {
+	for i, line := range strings.Split(file, "\n") {
+		if col := strings.Index(line, w.text); col >= 0 {
+			return fmt.Sprintf("[%d:%d] %q is not a duration; give a number with its unit, such as 500ms, 30s or 5m\n>  %d | %s\n", i+1, col+1, w.text, i+1, line)
+		}
+	}
+	return w.Error()
+}
+
+func readDuration(d *time.Duration, raw []byte) (err error) {
+	text := strings.Trim(string(raw), " \n\"'")
+	if *d, err = time.ParseDuration(text); err != nil {
+		return wrongDuration{text}
+	}
+	return nil
+}
+
 // problems gathers what is wrong, so that one run of --check shows all of it.
 type problems struct{ list []error }
 
--- a/src/standin/kv.go
+++ b/src/standin/kv.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -366,5 +365,3 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
-
-func pathTail(p, prefix string) string { return strings.TrimPrefix(p, prefix) }
--- /dev/null
+++ b/test/bench_test.go
@@ -0,0 +1,528 @@
+// Package test runs the real binaries behind a fault-injecting proxy and
+// checks the promises made to callers and operators.
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/crankridge/crankridge/src/catalog"
+	"github.com/crankridge/crankridge/src/entry"
+	"github.com/crankridge/crankridge/src/operator"
+	"github.com/crankridge/crankridge/src/standin"
+)
+
+const (
+	token      = "test-operator"
+	rideKey    = "ride-key"
+	clinicKey  = "clinic-key"
+	patience   = 30 * time.Second
+	pollEvery  = 10 * time.Millisecond
+	stopWithin = 15 * time.Second
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "crankridge")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Println(string(out))
+		os.Exit(1)
+	}
+	binaries = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// proc is one process.
+type proc struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	log  string
+	path string
+}
+
+func (b *bench) start(name, binary, settings string) *proc {
+	b.t.Helper()
+	path := filepath.Join(b.dir, name+".yaml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+	p := &proc{t: b.t, name: name, path: path, log: filepath.Join(b.dir, name+".log")}
+	p.launch(binary)
+	b.t.Cleanup(p.kill)
+	return p
+}
+
+func (p *proc) launch(binary string) {
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.cmd = exec.Command(filepath.Join(binaries, binary), "-s", p.path, "-v", "1")
+	p.cmd.Stderr, p.cmd.Stdout = log, log
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	done := make(chan struct{})
+	p.done = done
+	cmd := p.cmd
+	go func() { _ = cmd.Wait(); _ = log.Close(); close(done) }()
+}
+
+func (p *proc) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *proc) kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (p *proc) waitStopped(within time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(within):
+		return false
+	}
+}
+
+// options shape a bench; zero values take the defaults of newBench.
+type options struct {
+	nodes        int
+	domains      int
+	engines      int // each of model climb
+	services     int // servers of service booking
+	engineShape  string
+	ttl          string
+	entry        string // further settings of crank-entry
+	control      string // further planner settings of crank-control
+	controls     int
+	offers       string
+	reclaimable  bool
+	modelServers int
+	weightsRate  string
+	noMap        bool
+}
+
+// node is one crank-entry with the proxies before it and its KV link.
+type node struct {
+	*proc
+	name, domain              string
+	callers, peers, operators string
+	kvLink, peerLink          *link
+	settings                  string
+}
+
+// bench is a running system with its fakes.
+type bench struct {
+	t        *testing.T
+	dir      string
+	kv       string
+	cloud    string
+	standins *proc
+	engines  []*engineProc
+	services []string
+	svcProcs []*proc
+	nodes    []*node
+	controls []string
+	ctlProcs []*proc
+	ctlLinks []*link
+}
+
+type engineProc struct {
+	*proc
+	name, domain, addr string
+}
+
+// link is a proxy that can be cut and joined again.
+type link struct {
+	proxy *toxiproxy.Proxy
+	addr  string
+}
+
+var proxyServer = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+
+func newLink(t *testing.T, name, upstream string) *link {
+	l := &link{addr: freeAddr(t)}
+	l.proxy = toxiproxy.NewProxy(proxyServer, name, l.addr, upstream)
+	if err := l.proxy.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.proxy.Stop)
+	return l
+}
+
+func (l *link) cut() { l.proxy.Stop() }
+
+func (l *link) join(t *testing.T) {
+	if err := l.proxy.Start(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func domainName(i int) string { return "fd-" + string(rune('a'+i)) }
+
+func newBench(t *testing.T, o options) *bench {
+	t.Helper()
+	b := &bench{t: t, dir: t.TempDir()}
+	t.Cleanup(b.showLogs)
+	b.kv, b.cloud = freeAddr(t), freeAddr(t)
+	b.startOutside(o)
+	b.startControls(o)
+	b.apply(baseResources(o)...)
+	for i := range o.nodes {
+		b.addNode(o, i)
+	}
+	b.eventually("all nodes are ready", func() bool {
+		for _, n := range b.nodes {
+			if get("http://"+n.callers+"/readyz", "", nil) != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	b.eventually("all nodes know all nodes and upstreams", func() bool {
+		for _, n := range b.nodes {
+			s := b.state(n)
+			if len(s.Nodes) != o.nodes || len(s.Upstreams) < o.engines+o.services || s.MapPassive > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	return b
+}
+
+func (b *bench) showLogs() {
+	if !b.t.Failed() {
+		return
+	}
+	files, _ := filepath.Glob(filepath.Join(b.dir, "*.log"))
+	for _, f := range files {
+		raw, _ := os.ReadFile(f)
+		lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
+		b.t.Logf("%s:\n%s", filepath.Base(f), strings.Join(lines[max(len(lines)-25, 0):], "\n"))
+	}
+}
+
+func (b *bench) startOutside(o options) {
+	weights := freeAddr(b.t)
+	rate := o.weightsRate
+	if rate == "" {
+		rate = "1e12"
+	}
+	var vms strings.Builder
+	vm := func(name, domain, role, service, addr string) {
+		fmt.Fprintf(&vms, "    - {name: %s, failure_domain: %s, role: %s, service: %q, class: gpu, address: %q, reclaimable: %t, hour_price: 1}\n",
+			name, domain, role, service, addr, o.reclaimable)
+	}
+	for i := range o.engines {
+		e := &engineProc{name: fmt.Sprintf("engine-%d", i), domain: domainName(i % o.domains), addr: freeAddr(b.t)}
+		e.proc = b.start(e.name, "crank-standin", fmt.Sprintf("engines:\n  - {name: %s, listen: %q, models: [climb], weights: %q, shape: {%s}}\n", e.name, e.addr, weights, o.engineShape))
+		b.engines = append(b.engines, e)
+		vm(e.name, e.domain, "engine", "", e.addr)
+	}
+	for i := range o.services {
+		name, addr := fmt.Sprintf("booking-%d", i), freeAddr(b.t)
+		b.svcProcs = append(b.svcProcs, b.start(name, "crank-standin", fmt.Sprintf("services:\n  - {name: %s, listen: %q}\n", name, addr)))
+		b.services = append(b.services, addr)
+		vm(name, domainName(i%o.domains), "service", "booking", addr)
+	}
+	for i := range o.nodes {
+		vm(nodeName(i), domainName(i%o.domains), "entry", "", "")
+	}
+	b.standins = b.start("standins", "crank-standin", fmt.Sprintf("kv: {listen: %q}\nweights: {listen: %q, bytes_per_second: %s}\ncloud:\n  listen: %q\n  weights: %q\n  shape: {%s}\n  vms:\n%s  offers:\n%s",
+		b.kv, weights, rate, b.cloud, weights, o.engineShape, vms.String(), o.offers))
+}
+
+func nodeName(i int) string { return fmt.Sprintf("node-%02d", i) }
+
+func (b *bench) startControls(o options) {
+	for i := range max(o.controls, 1) {
+		addr := freeAddr(b.t)
+		kv := newLink(b.t, "kv-control", b.kv)
+		b.ctlLinks = append(b.ctlLinks, kv)
+		b.controls = append(b.controls, addr)
+		b.ctlProcs = append(b.ctlProcs, b.start(fmt.Sprintf("control-%d", i), "crank-control", fmt.Sprintf(`
+node: {name: control-%d, failure_domain: fd-a}
+listen: {operators: %q}
+kv: {url: "http://%s", timeout: 1s}
+cloud: {url: "http://%s"}
+secrets: {peer: test-peer, operator: %s}
+planner: {round: 200ms, boot: 1s, margin: 1s, recheck: 1s%s}
+`, i, addr, kv.addr, b.cloud, token, o.control)))
+	}
+	b.eventually("crank-control answers", func() bool {
+		return get("http://"+b.controls[0]+"/readyz", token, nil) == http.StatusOK
+	})
+}
+
+func (b *bench) addNode(o options, i int) *node {
+	n := &node{name: nodeName(i), domain: domainName(i % o.domains), callers: freeAddr(b.t), operators: freeAddr(b.t)}
+	listenPeers := freeAddr(b.t)
+	n.kvLink = newLink(b.t, "kv-"+n.name, b.kv)
+	n.peerLink = newLink(b.t, "peers-"+n.name, listenPeers)
+	n.peers = n.peerLink.addr
+	ttl := o.ttl
+	if ttl == "" {
+		ttl = "300ms"
+	}
+	seeds := ""
+	for _, other := range b.nodes {
+		seeds += strconv.Quote(other.peers) + ","
+	}
+	n.settings = fmt.Sprintf(`
+node: {name: %s, vm: %s, failure_domain: %s}
+listen: {callers: %q, peers: %q, operators: %q}
+advertise: {peers: %q}
+kv: {url: "http://%s", timeout: 1s}
+cloud: {url: "http://%s"}
+secrets: {peer: test-peer, operator: %s}
+peers: [%s]
+exchange: {interval: 200ms, lease: 10s}
+stop: {ttl: %s, grace: 20s}
+%s
+`, n.name, n.name, n.domain, n.callers, listenPeers, n.operators, n.peers, n.kvLink.addr, b.cloud, token, seeds, ttl, o.entry)
+	n.proc = b.start(n.name, "crank-entry", n.settings)
+	b.nodes = append(b.nodes, n)
+	return n
+}
+
+func baseResources(o options) []catalog.Resource {
+	return []catalog.Resource{
+		{Kind: catalog.KindCustomer, Name: "rides", Customer: &catalog.Customer{KeySHA256: catalog.HashKey(rideKey), Weight: 3}},
+		{Kind: catalog.KindCustomer, Name: "clinics", Customer: &catalog.Customer{KeySHA256: catalog.HashKey(clinicKey), Weight: 1}},
+		{Kind: catalog.KindModel, Name: "climb", Model: &catalog.Model{Bytes: 1e9, Version: "1", Servers: o.modelServers}},
+		{Kind: catalog.KindService, Name: "booking", Service: &catalog.Service{}},
+	}
+}
+
+// apply stores resources through the first control, creating or replacing.
+func (b *bench) apply(list ...catalog.Resource) int64 {
+	b.t.Helper()
+	last := int64(0)
+	for _, r := range list {
+		b.eventually("apply "+r.Name, func() bool {
+			var have catalog.Resource
+			_ = get(b.resourceURL(0, r), token, &have)
+			status, stored := b.put(0, r, have.Version, "")
+			last = stored.Version
+			return status == http.StatusOK
+		})
+	}
+	return last
+}
+
+func (b *bench) resourceURL(control int, r catalog.Resource) string {
+	return fmt.Sprintf("http://%s/v1/resources/%s/%s", b.controls[control], r.Kind, r.Name)
+}
+
+func (b *bench) put(control int, r catalog.Resource, version int64, change string) (int, catalog.Resource) {
+	raw, _ := json.Marshal(r)
+	req, _ := http.NewRequest(http.MethodPut, b.resourceURL(control, r), bytes.NewReader(raw))
+	req.Header.Set("Authorization", "Bearer "+token)
+	req.Header.Set("If-Match", strconv.FormatInt(version, 10))
+	if change != "" {
+		req.Header.Set("Crankridge-Change-Id", change)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, r
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var stored catalog.Resource
+	_ = json.NewDecoder(resp.Body).Decode(&stored)
+	return resp.StatusCode, stored
+}
+
+// get reads a JSON document; into may be nil.
+func get(url, bearer string, into any) int {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Authorization", "Bearer "+bearer)
+	c := http.Client{Timeout: 3 * time.Second}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if into != nil && resp.StatusCode == http.StatusOK {
+		_ = json.NewDecoder(resp.Body).Decode(into)
+	}
+	return resp.StatusCode
+}
+
+// admin makes an admin call of a fake.
+func (b *bench) admin(addr, path string, body any) {
+	b.t.Helper()
+	raw, _ := json.Marshal(body)
+	resp, err := http.Post("http://"+addr+"/admin/"+path, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		b.t.Fatalf("admin %s: %v", path, err)
+	}
+	_ = resp.Body.Close()
+}
+
+func (b *bench) kvFaults(f standin.KVFaults) { b.admin(b.kv, "faults", f) }
+
+func (b *bench) state(n *node) entry.State {
+	var s entry.State
+	_ = get("http://"+n.operators+"/debug/state", token, &s)
+	return s
+}
+
+// eventually waits for a condition, with a bound.
+func (b *bench) eventually(what string, ok func() bool) {
+	b.t.Helper()
+	deadline := time.Now().Add(patience)
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for !ok() {
+		if time.Now().After(deadline) {
+			b.t.Fatalf("not so within %s: %s", patience, what)
+		}
+		<-tick.C
+	}
+}
+
+// runs adds up how often each key was run over all servers of the service.
+func (b *bench) runs() map[string]int {
+	out := map[string]int{}
+	for _, addr := range b.services {
+		one := map[string]int{}
+		_ = get("http://"+addr+"/admin/runs", "", &one)
+		for k, n := range one {
+			out[k] += n
+		}
+	}
+	return out
+}
+
+func (b *bench) inForce(version int64) operator.InForce {
+	var f operator.InForce
+	_ = get(fmt.Sprintf("http://%s/v1/inforce?version=%d", b.controls[0], version), token, &f)
+	return f
+}
+
+// reply is what a caller saw.
+type reply struct {
+	status  int
+	outcome string
+	key     string
+	retry   string
+	body    string   // of a whole answer or an error
+	tokens  []string // of a stream
+	ids     []int
+	whole   bool // the stream came to its end mark
+	err     error
+	took    time.Duration
+	header  http.Header
+}
+
+// ask describes a request.
+type ask struct {
+	path   string
+	body   string
+	bearer string
+	header map[string]string
+	tokens chan<- int // told the id of each token, when not nil
+}
+
+var callerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// send makes a request of node n and reads its answer to the end.
+func (n *node) send(a ask) reply {
+	began := time.Now()
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.callers+a.path, strings.NewReader(a.body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+a.bearer)
+	for k, v := range a.header {
+		req.Header.Set(k, v)
+	}
+	resp, err := callerClient.Do(req)
+	if err != nil {
+		return reply{err: err, took: time.Since(began)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	r := reply{
+		status: resp.StatusCode, outcome: resp.Header.Get("Crankridge-Outcome"), key: resp.Header.Get("Idempotency-Key"),
+		retry: resp.Header.Get("Retry-After-Ms"), header: resp.Header,
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		r.readStream(resp.Body, a.tokens)
+	} else {
+		raw, err := io.ReadAll(resp.Body)
+		r.body, r.err = string(raw), err
+	}
+	r.took = time.Since(began)
+	return r
+}
+
+func chat(prompt string, maxTokens int, stream bool) ask {
+	body, _ := json.Marshal(map[string]any{
+		"model": "climb", "max_tokens": maxTokens, "stream": stream,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	return ask{path: "/v1/chat/completions", body: string(body), bearer: rideKey, header: map[string]string{}}
+}
+
+func booking(key string) ask {
+	return ask{path: "/v1/services/booking/chairs", body: `{"chair":3}`, bearer: clinicKey, header: map[string]string{"Idempotency-Key": key}}
+}
+
+func (a ask) with(name, value string) ask {
+	h := map[string]string{name: value}
+	for k, v := range a.header {
+		if k != name {
+			h[k] = v
+		}
+	}
+	a.header = h
+	return a
+}
+
+// gather runs n functions at once and waits for all.
+func gather(n int, each func(i int)) {
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { each(i) })
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/test/path_test.go
@@ -0,0 +1,233 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	openai "github.com/openai/openai-go"
+	"github.com/openai/openai-go/option"
+
+	"github.com/crankridge/crankridge/src/catalog"
+)
+
+var small = options{nodes: 3, domains: 3, engines: 3, services: 2, modelServers: 1}
+
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, small)
+
+	whole := b.nodes[0].send(chat("Describe the climb.", 30, false))
+	is.Equal(whole.status, http.StatusOK)
+	is.Equal(whole.outcome, "completed")
+	var answer struct {
+		Choices []struct{ Message struct{ Content string } }
+		Usage   struct {
+			Completion int `json:"completion_tokens"`
+		}
+	}
+	is.NoErr(json.Unmarshal([]byte(whole.body), &answer))
+	is.Equal(answer.Usage.Completion, 30)
+
+	streamed := b.nodes[1].send(chat("Describe the climb.", 30, true))
+	is.True(streamed.whole)
+	is.Equal(strings.Join(streamed.tokens, ""), answer.Choices[0].Message.Content) // both forms give the same text
+	for i, id := range streamed.ids {
+		is.Equal(id, i+1) // event ids count tokens
+	}
+
+	booked := b.nodes[2].send(booking("b-1"))
+	is.Equal(booked.status, http.StatusOK)
+	is.Equal(b.runs()["b-1"], 1)
+
+	version := b.apply(catalog.Resource{Kind: catalog.KindModel, Name: "summary", Model: &catalog.Model{Bytes: 1, Version: "1"}})
+	b.eventually("the change is in force on all nodes", func() bool {
+		f := b.inForce(version)
+		return f.Nodes == 3 && f.Have == 3
+	})
+	for _, n := range b.nodes {
+		var list struct{ Data []struct{ ID string } }
+		is.Equal(get("http://"+n.callers+"/v1/models", rideKey, &list), http.StatusOK)
+		is.Equal(len(list.Data), 2)
+	}
+}
+
+func TestOpenAIClientLibrary(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, small)
+	client := openai.NewClient(option.WithBaseURL("http://"+b.nodes[0].callers+"/v1/"), option.WithAPIKey(rideKey))
+	params := openai.ChatCompletionNewParams{
+		Model: "climb", MaxCompletionTokens: openai.Int(20),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Is the descent gravel?")},
+	}
+	plain, err := client.Chat.Completions.New(context.Background(), params)
+	is.NoErr(err)
+	is.Equal(plain.Usage.CompletionTokens, int64(20))
+
+	params.StreamOptions.IncludeUsage = openai.Bool(true)
+	stream := client.Chat.Completions.NewStreaming(context.Background(), params)
+	acc := openai.ChatCompletionAccumulator{}
+	for stream.Next() {
+		is.True(acc.AddChunk(stream.Current()))
+	}
+	is.NoErr(stream.Err())
+	is.Equal(acc.Choices[0].Message.Content, plain.Choices[0].Message.Content)
+	is.Equal(acc.Usage.CompletionTokens, int64(20))
+
+	params.Model = "none"
+	_, err = client.Chat.Completions.New(context.Background(), params)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "model_not_found"))
+
+	models, err := client.Models.List(context.Background())
+	is.NoErr(err)
+	is.Equal(models.Data[0].ID, "climb")
+}
+
+func TestBadInput(t *testing.T) {
+	b := newBench(t, options{nodes: 3, domains: 3, engines: 1, services: 1, modelServers: 1, entry: "limits: {body_bytes: 2000}"})
+	n := b.nodes[0]
+	stranger := chat("x", 5, false)
+	stranger.bearer = "nobody"
+	for _, c := range []struct {
+		name string
+		ask  ask
+		want int
+		code string
+	}{
+		{"unknown customer", stranger, 401, "invalid_api_key"},
+		{"unknown model", ask{path: "/v1/completions", bearer: rideKey, body: `{"model":"none","prompt":"x"}`}, 404, "model_not_found"},
+		{"malformed JSON", ask{path: "/v1/completions", bearer: rideKey, body: `{"model":`}, 400, "invalid_request"},
+		{"no prompt", ask{path: "/v1/completions", bearer: rideKey, body: `{"model":"climb"}`}, 400, "invalid_request"},
+		{"body over the limit", chat(strings.Repeat("x", 3000), 5, false), 413, "body_too_large"},
+		{"unknown service", ask{path: "/v1/services/none/x", bearer: rideKey}, 404, "service_not_found"},
+		{"bad key", booking("a b"), 400, "bad_key"},
+		{"bad deadline", booking("k").with("Crankridge-Deadline-Ms", "soon"), 400, "bad_header"},
+		{"bad repeatable", booking("k").with("Crankridge-Repeatable", "maybe"), 400, "bad_header"},
+		{"unknown path", ask{path: "/v2/x", bearer: rideKey}, 404, "not_found"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := n.send(c.ask)
+			is.Equal(r.status, c.want)
+			is.Equal(r.outcome, "not-run")
+			is.True(strings.Contains(r.body, c.code))
+		})
+	}
+	t.Run("key used for another body", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(n.send(booking("twice")).status, 200)
+		other := booking("twice")
+		other.body = `{"chair":4}`
+		is.Equal(n.send(other).status, 422)
+		is.Equal(b.nodes[1].send(other).status, 422) // at another node as well
+	})
+	t.Run("nothing of it ran", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(len(b.runs()), 1)
+	})
+	t.Run("event that ends before it starts", func(t *testing.T) {
+		is := is.New(t)
+		ev := catalog.Resource{Kind: catalog.KindEvent, Name: "bad", Event: &catalog.Event{
+			Start: time.Now(), End: time.Now().Add(-time.Hour), Models: []catalog.EventModel{{Name: "climb", Servers: 1}},
+		}}
+		status, _ := b.put(0, ev, 0, "")
+		is.Equal(status, http.StatusUnprocessableEntity)
+	})
+	t.Run("change without If-Match", func(t *testing.T) {
+		is := is.New(t)
+		req, _ := http.NewRequest(http.MethodPut, b.resourceURL(0, catalog.Resource{Kind: "model", Name: "x"}), strings.NewReader("{}"))
+		req.Header.Set("Authorization", "Bearer "+token)
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusPreconditionRequired)
+	})
+}
+
+func TestWrongSettings(t *testing.T) {
+	dir := t.TempDir()
+	for name, c := range map[string]struct{ text, want string }{
+		"unknown field": {"node: {name: a, color: red}\n", `unknown field "color"`},
+		"duplicate key": {"node: {name: a}\nnode: {name: b}\n", "already defined"},
+		"wrong unit":    {"stop: {ttl: 30 parsecs}\n", "ttl"},
+		"missing":       {"node: {name: a}\n", "node.failure_domain is missing"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			path := filepath.Join(dir, strings.ReplaceAll(name, " ", "-")+".yaml")
+			is.NoErr(os.WriteFile(path, []byte(c.text), 0o600))
+			out, err := exec.Command(filepath.Join(binaries, "crank-entry"), "-s", path, "--check").CombinedOutput()
+			is.True(err != nil)
+			is.True(strings.Contains(string(out), c.want))
+			is.True(strings.Contains(string(out), path))
+		})
+	}
+}
+
+// A stream that an engine breaks off is taken up where it broke, unseen by the caller.
+func TestTruncatedEngineStream(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, small)
+	want := b.nodes[0].send(chat("Where is the water?", 40, true))
+	for _, e := range b.engines {
+		b.admin(e.addr, "faults", map[string]int{"cut_after": 7})
+	}
+	got := b.nodes[0].send(chat("Where is the water?", 40, true))
+	is.True(got.whole)
+	is.Equal(got.tokens, want.tokens)
+	is.Equal(len(got.tokens), 40)
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, small)
+	n := b.nodes[0]
+	const streams = 20
+	want := b.nodes[1].send(chat("Notes for rider 0.", 150, true))
+	begun := make(chan int, streams*200)
+	results := make([]reply, streams)
+	done := make(chan struct{})
+	go func() {
+		gather(streams, func(i int) {
+			a := chat(fmt.Sprintf("Notes for rider %d.", i), 150, true)
+			a.tokens = begun
+			results[i] = n.send(a)
+		})
+		close(done)
+	}()
+	for range streams {
+		<-begun
+	}
+	n.signal(syscall.SIGTERM)
+	b.eventually("endpoints drop the node", func() bool {
+		var e struct{ Endpoints []struct{ Address string } }
+		get("http://"+b.nodes[1].callers+"/v1/endpoints", rideKey, &e)
+		for _, a := range e.Endpoints {
+			if a.Address == n.callers {
+				return false
+			}
+		}
+		return len(e.Endpoints) == 2
+	})
+	<-done
+	for _, r := range results {
+		is.True(r.whole)
+		is.Equal(len(r.tokens), 150)
+	}
+	is.Equal(results[0].tokens, want.tokens)
+	is.True(n.waitStopped(stopWithin))
+	b.eventually("its shards are kept by others", func() bool {
+		s := b.state(b.nodes[1])
+		return s.MapPassive == 0 && len(s.Shards) == s.MapShards
+	})
+	is.Equal(b.nodes[1].send(booking("after")).status, 200)
+}
