Carry requests through kills, freezes, cuts and reclaims

Cause of each change, found by the tests that come with it: - A stream taken over from a lost node was given up at its first break and computed again (230 tokens decoded for 120): it is now resumed like any other, and cancelled where it cannot be read. Ruled out: test ports from the system's range; outgoing connections took them before their process listened (one run of TestEntryNodeReclaimed failed so).

--- a/src/serve/claims.go
+++ b/src/serve/claims.go
@@ -228,7 +228,12 @@
 // inquire asks what became of an attempt. Unknown means that nobody can tell.
 func (c *Coordinator) inquire(ctx context.Context, rival claim.Attempt, own string) claim.State {
 	if rival.Node == c.Self.Name && rival.Incarnation == c.Self.Incarnation {
-		return c.Attempts.Yield(rival.ID, own, c.Now())
+		// One node has one flight a key, so an earlier attempt of its own has
+		// ended; only that it was never sent is worth knowing.
+		if state := c.Attempts.Yield(rival.ID, own, c.Now()); state == claim.Released {
+			return state
+		}
+		return claim.Unknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Set.Claims.Timeout)
 	defer cancel()
--- a/src/serve/completion.go
+++ b/src/serve/completion.go
@@ -46,10 +46,9 @@
 	avoid map[string]bool
 	wait  time.Duration
 
-	finish     string
-	prefer     string // engine that holds the moved KV cache
-	resumed    int    // tokens of the present stream at its last resumption
-	recomputed int
+	finish  string
+	prefer  string // engine that holds the moved KV cache
+	resumed int    // tokens of the present stream at its last resumption
 }
 
 // complete runs a completion to its end, over as many engines as it takes.
@@ -141,21 +140,31 @@
 	if n == 0 {
 		r.c.Metrics.Added(began.Sub(r.f.Began))
 	}
-	open := func(ctx context.Context) error {
+	err := r.read(ctx, g, id, func(ctx context.Context) error {
 		return r.c.Engines.Open(ctx, g.Addr, id, r.req.Chat, body, r.meta(g.Name), r.token)
-	}
+	})
+	r.c.lanes.held(r.req.Model, r.c.Now().Sub(began))
+	r.learn(g, n)
+	return err
+}
+
+// read reads a stream as open begins it, and takes it up again where it broke
+// as long as that brings something.
+func (r *run) read(ctx context.Context, g granted, id string, open func(context.Context) error) error {
 	err := r.watch(ctx, g, id, open)
 	for errors.Is(err, engine.ErrBroken) && r.resumable(g.Name) {
-		err = r.watch(ctx, g, id, func(ctx context.Context) error {
-			_, now := r.f.Given()
-			return r.c.Engines.Resume(ctx, g.Addr, id, int64(now-r.base), r.meta(g.Name), r.token)
-		})
+		err = r.watch(ctx, g, id, r.resume(g, id))
 	}
-	r.c.lanes.held(r.req.Model, r.c.Now().Sub(began))
-	r.learn(g, began, n)
 	return err
 }
 
+func (r *run) resume(g granted, id string) func(context.Context) error {
+	return func(ctx context.Context) error {
+		_, now := r.f.Given()
+		return r.c.Engines.Resume(ctx, g.Addr, id, int64(now-r.base), r.meta(g.Name), r.token)
+	}
+}
+
 // seedOf makes a request's answer the same wherever it is computed.
 func seedOf(key string) int64 { return int64(xxhash.Sum64String(key) >> 1) }
 
@@ -356,7 +365,7 @@
 }
 
 // learn corrects what is believed of the engine by what the stream showed.
-func (r *run) learn(g granted, began time.Time, given int) {
+func (r *run) learn(g granted, given int) {
 	u := r.usage
 	if u == nil {
 		return
@@ -365,8 +374,7 @@
 	text := r.req.Text()
 	r.c.Registry.CacheSeen(g.Name, engine.Blocks(text), cached)
 	if given > 0 {
-		r.c.Metrics.Recomputed(r.cause, u.PromptTokens-u.PromptDetails.CachedTokens)
-		r.recomputed += u.PromptTokens - u.PromptDetails.CachedTokens
+		r.c.Metrics.Recomputed(r.cause, u.PromptTokens, u.PromptTokens-u.PromptDetails.CachedTokens)
 	}
 }
 
@@ -380,7 +388,9 @@
 	case errors.Is(err, errMoved):
 		return request.Answer{}, false
 	case ctx.Err() != nil:
-		r.cancelEverywhere()
+		if r.c.ending.Err() == nil {
+			r.cancelEverywhere()
+		}
 		return r.c.ended(r.f, r.a), true
 	case errors.Is(err, engine.ErrInvalid):
 		return request.Answer{Outcome: request.NotRun, Status: http.StatusBadRequest, Code: codeInvalid, Message: err.Error()}, true
@@ -457,13 +467,12 @@
 			g.Candidate = c
 		}
 	}
-	_, had := r.f.Given()
-	err := r.watch(ctx, g, place.Stream, func(ctx context.Context) error {
-		return r.c.Engines.Resume(ctx, p.Addr, place.Stream, int64(had), r.meta(p.Name), r.token)
-	})
+	err := r.read(ctx, g, place.Stream, r.resume(g, place.Stream))
 	_, n := r.f.Given()
 	if err == nil || n >= r.req.MaxTokens {
 		return r.done(n), true
 	}
+	// What cannot be read must not go on being computed.
+	r.cancelAt(p.Addr, place.Stream)
 	return request.Answer{}, false
 }
--- a/src/serve/coordinator.go
+++ b/src/serve/coordinator.go
@@ -173,7 +173,8 @@
 	if unsent && !f.Certain && answer.Code != codeKeyReused {
 		answer = uncertain(answer)
 	}
-	if unsent {
+	if unsent || a.Repeatable && answer.Outcome == request.MayHaveRun {
+		// The next try by this key begins anew.
 		c.forget(f)
 	}
 	if !f.Finish(answer) {
@@ -257,6 +258,14 @@
 		return
 	}
 	c.Attempts.Finish(f.Attempt, c.Now())
+	if answer.Code == codeNodeStopped {
+		// The record stays open: another node takes the request up from it.
+		return
+	}
+	if a.Repeatable && answer.Outcome == request.MayHaveRun {
+		c.tellKeepers(f, &peer.SettleRequest{Released: true})
+		return
+	}
 	if !a.Given && a.Repeatable {
 		return
 	}
--- a/src/serve/follow.go
+++ b/src/serve/follow.go
@@ -43,7 +43,7 @@
 		}
 		if resp.Done {
 			r, err := request.DecodeAnswer(resp.Answer)
-			if err == nil {
+			if err == nil && r.Code != codeNodeStopped {
 				return r
 			}
 			return c.orphaned(ctx, f, a, holder)
@@ -53,9 +53,6 @@
 }
 
 func (c *Coordinator) read(ctx context.Context, holder claim.Attempt, key string, after int) (*peer.ReadResponse, error) {
-	if holder.Node == c.Self.Name && holder.Incarnation == c.Self.Incarnation {
-		return c.Read(ctx, &peer.ReadRequest{Key: key, After: int64(after), WaitMs: int32(readWait.Milliseconds())})
-	}
 	ctx, cancel := context.WithTimeout(ctx, readWait+readSlack)
 	defer cancel()
 	return c.Pool.To(holder.Addr).Read(ctx, &peer.ReadRequest{Key: key, After: int64(after), WaitMs: int32(readWait.Milliseconds())})
--- a/src/telemetry/metrics.go
+++ b/src/telemetry/metrics.go
@@ -23,6 +23,7 @@
 	added      metric.Float64Histogram
 	between    metric.Float64Histogram
 	recomputed metric.Int64Counter
+	carried    metric.Int64Counter
 	claims     metric.Int64Counter
 	moves      metric.Int64Counter
 	dropped    metric.Int64Counter
@@ -60,6 +61,7 @@
 	m.added = seconds("added", "time a request spent here before it was sent on")
 	m.between = seconds("between_tokens", "time between two tokens of a stream")
 	m.recomputed = counter("tokens_recomputed", "prompt and answer tokens computed again, by cause")
+	m.carried = counter("tokens_carried", "tokens of prompt and answer with which a moved stream went on, by cause")
 	m.claims = counter("claims", "claims of requests not repeatable, by result")
 	m.moves = counter("moves", "streams whose upstream left, by what was done")
 	m.dropped = counter("dropped", "late or superseded messages dropped, by kind")
@@ -101,8 +103,10 @@
 // Between records the time between two tokens.
 func (m *Metrics) Between(d time.Duration) { m.between.Record(context.Background(), d.Seconds()) }
 
-// Recomputed counts tokens computed again.
-func (m *Metrics) Recomputed(cause string, tokens int) {
+// Recomputed counts, of the tokens a moved stream went on with, those that
+// had to be computed again.
+func (m *Metrics) Recomputed(cause string, carried, tokens int) {
+	m.carried.Add(context.Background(), int64(carried), attrs("cause", cause))
 	m.recomputed.Add(context.Background(), int64(tokens), attrs("cause", cause))
 }
 
--- a/test/bench_test.go
+++ b/test/bench_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -125,7 +127,6 @@
 	reclaimable  bool
 	modelServers int
 	weightsRate  string
-	noMap        bool
 }
 
 // node is one crank-entry with the proxies before it and its KV link.
@@ -146,7 +147,7 @@
 	standins *proc
 	engines  []*engineProc
 	services []string
-	svcProcs []*proc
+	svcLinks []*link // between the nodes and each server of the service
 	nodes    []*node
 	controls []string
 	ctlProcs []*proc
@@ -184,13 +185,26 @@
 	}
 }
 
+// Ports are taken below the range from which the system picks those of
+// outgoing connections, so that none is gone before its process listens.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		ln, err := net.Listen("tcp", addr)
+		if err == nil {
+			_ = ln.Close()
+			return addr
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func domainName(i int) string { return "fd-" + string(rune('a'+i)) }
@@ -257,9 +271,11 @@
 	}
 	for i := range o.services {
 		name, addr := fmt.Sprintf("booking-%d", i), freeAddr(b.t)
-		b.svcProcs = append(b.svcProcs, b.start(name, "crank-standin", fmt.Sprintf("services:\n  - {name: %s, listen: %q}\n", name, addr)))
+		b.start(name, "crank-standin", fmt.Sprintf("services:\n  - {name: %s, listen: %q}\n", name, addr))
 		b.services = append(b.services, addr)
-		vm(name, domainName(i%o.domains), "service", "booking", addr)
+		reach := newLink(b.t, name, addr)
+		b.svcLinks = append(b.svcLinks, reach)
+		vm(name, domainName(i%o.domains), "service", "booking", reach.addr)
 	}
 	for i := range o.nodes {
 		vm(nodeName(i), domainName(i%o.domains), "entry", "", "")
@@ -460,15 +476,25 @@
 	body   string
 	bearer string
 	header map[string]string
-	tokens chan<- int // told the id of each token, when not nil
+	tokens chan<- int    // told the id of each token, when not nil
+	limit  time.Duration // the caller gives up after it; callerLimit when 0
 }
 
+// callerLimit ends every call, so that no test hangs on a frozen process.
+const callerLimit = 60 * time.Second
+
 var callerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
 // send makes a request of node n and reads its answer to the end.
 func (n *node) send(a ask) reply {
 	began := time.Now()
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.callers+a.path, strings.NewReader(a.body))
+	limit := a.limit
+	if limit == 0 {
+		limit = callerLimit
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.callers+a.path, strings.NewReader(a.body))
 	if err != nil {
 		return reply{err: err}
 	}
