Count own sends by when they ended; bound answers; add load and measuring

Cause: a request that ended before the last report was taken off the reported load a second time or not at all, so engines looked busier than they were until the next report. Also: the admission loop woke 100 times a second with nothing waiting; it now sleeps. An answer's text is bounded by limits.answer_bytes.

--- a/src/request/flight.go
+++ b/src/request/flight.go
@@ -19,6 +19,9 @@
 	// Certain says that no earlier try by this key can have run. It belongs
 	// to the goroutine that runs the flight.
 	Certain bool
+	// Claimed says that keepers may hold this flight's attempt. It belongs to
+	// the goroutine that runs the flight.
+	Claimed bool
 
 	mu       sync.Mutex
 	tokens   []string
@@ -60,6 +63,13 @@
 	return string(f.text), len(f.tokens)
 }
 
+// Size is the bytes of text delivered so far.
+func (f *Flight) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.text)
+}
+
 // Tokens returns a copy of all tokens.
 func (f *Flight) Tokens() []string {
 	f.mu.Lock()
--- a/src/serve/completion.go
+++ b/src/serve/completion.go
@@ -125,8 +125,12 @@
 	pause(ctx, request.Jitter(r.wait))
 }
 
-// errMoved ends a stream that continues elsewhere.
-var errMoved = errors.New("stream moved")
+var (
+	// errMoved ends a stream that continues elsewhere.
+	errMoved = errors.New("stream moved")
+	// errLong ends a stream whose text has reached the bound of an answer.
+	errLong = errors.New("answer is as long as it may be")
+)
 
 // stream runs one stream at one engine until it ends, breaks or moves.
 func (r *run) stream(ctx context.Context, g granted) error {
@@ -361,6 +365,9 @@
 	r.last = now
 	r.f.Append(t.Text)
 	r.finish = t.Finish
+	if r.f.Size() > r.c.Set.Limits.AnswerBytes {
+		return errLong
+	}
 	return nil
 }
 
@@ -385,6 +392,9 @@
 	case err == nil || n >= r.req.MaxTokens:
 		r.c.Registry.Succeeded(name)
 		return r.done(n), true
+	case errors.Is(err, errLong):
+		r.cancelEverywhere()
+		return r.done(n), true
 	case errors.Is(err, errMoved):
 		return request.Answer{}, false
 	case ctx.Err() != nil:
--- a/src/serve/coordinator.go
+++ b/src/serve/coordinator.go
@@ -214,6 +214,7 @@
 }
 
 func (c *Coordinator) claimAndSend(ctx context.Context, f *request.Flight, a Ask) request.Answer {
+	f.Claimed = true
 	res := c.claimKey(ctx, f, a)
 	switch {
 	case res.granted:
@@ -254,7 +255,9 @@
 func (c *Coordinator) settle(f *request.Flight, a Ask, answer request.Answer) {
 	if answer.Outcome == request.NotRun {
 		c.Attempts.Withdraw(f.Attempt, c.Now())
-		c.tellKeepers(f, &peer.SettleRequest{Released: true})
+		if f.Claimed {
+			c.tellKeepers(f, &peer.SettleRequest{Released: true})
+		}
 		return
 	}
 	c.Attempts.Finish(f.Attempt, c.Now())
--- a/src/serve/lanes.go
+++ b/src/serve/lanes.go
@@ -66,24 +66,31 @@
 	return ln
 }
 
-// run pumps the queues when something changed, and now and then, since
-// reports age by themselves.
+// run pumps the queues when something changed, and now and then while
+// somebody waits, since reports age by themselves.
 func (l *lanes) run() {
-	tick := time.NewTicker(pumpEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-l.wake:
-		case <-tick.C:
-		}
-		l.mu.Lock()
-		for model, ln := range l.lanes {
-			l.pump(model, ln)
+	for range l.wake {
+		for l.pumpAll() {
+			select {
+			case <-l.wake:
+			case <-time.After(pumpEvery):
+			}
 		}
-		l.mu.Unlock()
 	}
 }
 
+// pumpAll tells whether somebody still waits.
+func (l *lanes) pumpAll() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	waiting := false
+	for model, ln := range l.lanes {
+		l.pump(model, ln)
+		waiting = waiting || ln.queue.Len() > 0
+	}
+	return waiting
+}
+
 func (l *lanes) kick() {
 	select {
 	case l.wake <- struct{}{}:
@@ -196,6 +203,7 @@
 	if !ln.queue.Push(e) {
 		return nil, granted{}, refuseLate(wait)
 	}
+	l.kick()
 	return e, granted{}, nil
 }
 
--- a/src/upstream/candidate.go
+++ b/src/upstream/candidate.go
@@ -103,20 +103,20 @@
 // worked off at the measured rate.
 func (u *Upstream) load(now time.Time, prefill float64) (busy, queued float64) {
 	u.sends = slices.DeleteFunc(u.sends, func(s send) bool {
-		return s.at.Before(u.reportAt) && s.done || now.Sub(s.at) > sendsKept
+		return !s.ended.IsZero() && !s.ended.After(u.reportAt) || now.Sub(s.at) > sendsKept
 	})
 	busy, queued = u.running+u.waiting, u.queued
 	for _, s := range u.sends {
-		if !s.at.After(u.reportAt) {
-			if s.done {
-				busy--
-			}
-			continue
-		}
-		queued += s.tokens
-		if !s.done {
+		reported := !s.at.After(u.reportAt)
+		switch {
+		case reported && !s.ended.IsZero():
+			busy--
+		case !reported && s.ended.IsZero():
 			busy++
 		}
+		if !reported {
+			queued += s.tokens
+		}
 	}
 	if !u.reportAt.IsZero() {
 		queued -= now.Sub(u.reportAt).Seconds() * prefill
--- a/src/upstream/registry.go
+++ b/src/upstream/registry.go
@@ -44,10 +44,11 @@
 	beliefs  map[uint64]time.Time
 }
 
+// send is one request this node sent to an upstream.
 type send struct {
 	at     time.Time
 	tokens float64
-	done   bool
+	ended  time.Time // zero while it runs
 }
 
 // Registry is the set of upstreams a node knows.
@@ -273,8 +274,8 @@
 	defer r.mu.Unlock()
 	u.inflight--
 	for i := range u.sends {
-		if u.sends[i].at.Equal(at) && !u.sends[i].done {
-			u.sends[i].done = true
+		if u.sends[i].at.Equal(at) && u.sends[i].ended.IsZero() {
+			u.sends[i].ended = r.now()
 			break
 		}
 	}
--- a/test/bench_test.go
+++ b/test/bench_test.go
@@ -46,7 +46,11 @@
 	if err != nil {
 		panic(err)
 	}
-	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	args := []string{"build", "-o", dir}
+	if os.Getenv("RACE") != "" {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "../cmd/...")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Println(string(out))
 		os.Exit(1)
@@ -127,6 +131,9 @@
 	reclaimable  bool
 	modelServers int
 	weightsRate  string
+	exchange     string // settings of the talk between nodes
+	direct       bool   // no proxies between the processes
+	extra        []catalog.Resource
 }
 
 // node is one crank-entry with the proxies before it and its KV link.
@@ -216,7 +223,7 @@
 	b.kv, b.cloud = freeAddr(t), freeAddr(t)
 	b.startOutside(o)
 	b.startControls(o)
-	b.apply(baseResources(o)...)
+	b.apply(append(baseResources(o), o.extra...)...)
 	for i := range o.nodes {
 		b.addNode(o, i)
 	}
@@ -241,6 +248,7 @@
 }
 
 func (b *bench) showLogs() {
+	b.findRaces()
 	if !b.t.Failed() {
 		return
 	}
@@ -252,6 +260,17 @@
 	}
 }
 
+// findRaces fails the test when a process built with RACE=1 reported a data race.
+func (b *bench) findRaces() {
+	files, _ := filepath.Glob(filepath.Join(b.dir, "*.log"))
+	for _, f := range files {
+		raw, _ := os.ReadFile(f)
+		if i := bytes.Index(raw, []byte("WARNING: DATA RACE")); i >= 0 {
+			b.t.Errorf("%s: %s", filepath.Base(f), raw[i:min(len(raw), i+2500)])
+		}
+	}
+}
+
 func (b *bench) startOutside(o options) {
 	weights := freeAddr(b.t)
 	rate := o.weightsRate
@@ -309,15 +328,23 @@
 func (b *bench) addNode(o options, i int) *node {
 	n := &node{name: nodeName(i), domain: domainName(i % o.domains), callers: freeAddr(b.t), operators: freeAddr(b.t)}
 	listenPeers := freeAddr(b.t)
-	n.kvLink = newLink(b.t, "kv-"+n.name, b.kv)
-	n.peerLink = newLink(b.t, "peers-"+n.name, listenPeers)
-	n.peers = n.peerLink.addr
+	kv := b.kv
+	n.peers = listenPeers
+	if !o.direct {
+		n.kvLink = newLink(b.t, "kv-"+n.name, b.kv)
+		n.peerLink = newLink(b.t, "peers-"+n.name, listenPeers)
+		kv, n.peers = n.kvLink.addr, n.peerLink.addr
+	}
+	exchange := o.exchange
+	if exchange == "" {
+		exchange = "interval: 200ms, lease: 10s"
+	}
 	ttl := o.ttl
 	if ttl == "" {
 		ttl = "300ms"
 	}
 	seeds := ""
-	for _, other := range b.nodes {
+	for _, other := range b.nodes[:min(len(b.nodes), 3)] {
 		seeds += strconv.Quote(other.peers) + ","
 	}
 	n.settings = fmt.Sprintf(`
@@ -328,10 +355,10 @@
 cloud: {url: "http://%s"}
 secrets: {peer: test-peer, operator: %s}
 peers: [%s]
-exchange: {interval: 200ms, lease: 10s}
+exchange: {%s}
 stop: {ttl: %s, grace: 20s}
 %s
-`, n.name, n.name, n.domain, n.callers, listenPeers, n.operators, n.peers, n.kvLink.addr, b.cloud, token, seeds, ttl, o.entry)
+`, n.name, n.name, n.domain, n.callers, listenPeers, n.operators, n.peers, kv, b.cloud, token, seeds, exchange, ttl, o.entry)
 	n.proc = b.start(n.name, "crank-entry", n.settings)
 	b.nodes = append(b.nodes, n)
 	return n
--- /dev/null
+++ b/test/capacity_test.go
@@ -0,0 +1,113 @@
+//go:build measure
+
+package test
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crankridge/crankridge/src/catalog"
+)
+
+// usage is what the fleet has used so far.
+type usage struct {
+	at       time.Time
+	channels map[string]int64 // bytes in and out, all nodes
+	cpu      float64
+	calls    map[string]int64 // of the key-value service
+	loopback int64            // bytes that crossed the loopback, packet headers included
+}
+
+func (b *bench) usage() usage {
+	u := usage{channels: map[string]int64{}, calls: map[string]int64{}}
+	for _, n := range b.nodes {
+		for channel, v := range b.state(n).Traffic {
+			u.channels[channel] += v[0] + v[1]
+		}
+	}
+	for _, n := range b.nodes {
+		u.cpu += cpuSeconds(n.cmd.Process.Pid)
+	}
+	_ = get("http://"+b.kv+"/admin/calls", "", &u.calls)
+	u.loopback = loopbackBytes()
+	u.at = time.Now()
+	return u
+}
+
+func loopbackBytes() int64 {
+	raw, _ := os.ReadFile("/proc/net/dev")
+	for _, line := range strings.Split(string(raw), "\n") {
+		name, rest, ok := strings.Cut(line, ":")
+		if ok && strings.TrimSpace(name) == "lo" {
+			n, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return n
+		}
+	}
+	return 0
+}
+
+// perNode prints what one node used a second between two readings.
+func (b *bench) perNode(t *testing.T, what string, from, to usage) {
+	n, s := float64(len(b.nodes)), to.at.Sub(from.at).Seconds()
+	rate := func(channel string) float64 { return float64(to.channels[channel]-from.channels[channel]) / n / s }
+	total := rate("kv") + rate("peers_in") + rate("peers_out") + rate("engines")
+	var calls []string
+	for _, kind := range []string{"range", "txn", "grant", "keepalive", "watch"} {
+		calls = append(calls, fmt.Sprintf("%s %.2f", kind, float64(to.calls[kind]-from.calls[kind])/s))
+	}
+	var memory []int
+	for _, node := range b.nodes {
+		memory = append(memory, residentMB(node.cmd.Process.Pid))
+	}
+	slices.Sort(memory)
+	t.Logf("| %d | %s | %.0f | %.0f | %.0f | %.0f | %.0f | %.2f%% | %d | %d | %s |", len(b.nodes), what, total, rate("kv"), rate("peers_in"), rate("peers_out"), rate("engines"),
+		100*(to.cpu-from.cpu)/n/s, memory[len(memory)/2], memory[len(memory)-1], strings.Join(calls, ", "))
+	t.Logf("  loopback bytes a node a second, packet headers and the measuring included: %.0f", float64(to.loopback-from.loopback)/n/s)
+}
+
+// Control traffic, processor time, memory, calls and the spread of a change
+// with the defaults, at growing numbers of nodes. CAPACITY_NODES chooses them.
+func TestMeasureCapacity(t *testing.T) {
+	sizes := os.Getenv("CAPACITY_NODES")
+	if sizes == "" {
+		sizes = "3,9,27,81,162"
+	}
+	const idle, changes = 20 * time.Second, 20
+	t.Log("| nodes | state | bytes/s a node | kv | peers in | peers out | engines | processor | memory median MB | most MB | calls/s of the key-value service, all nodes |")
+	for _, size := range strings.Split(sizes, ",") {
+		n, _ := strconv.Atoi(size)
+		b := newBench(t, options{nodes: n, domains: 4, engines: 24, services: 4, modelServers: 1, direct: true, exchange: "interval: 1s, lease: 60s", control: ", recheck: 30s"})
+		for run := range 3 {
+			from := b.usage()
+			<-time.After(idle)
+			to := b.usage()
+			b.perNode(t, fmt.Sprintf("idle, run %d", run+1), from, to)
+			var took []time.Duration
+			from = b.usage()
+			for i := range changes {
+				began := time.Now()
+				version := b.apply(catalog.Resource{Kind: catalog.KindModel, Name: "changing", Model: &catalog.Model{Bytes: int64(run*changes + i + 1), Version: "1"}})
+				b.eventually("in force", func() bool { return b.inForce(version).Have == n })
+				took = append(took, time.Since(began))
+				<-time.After(time.Until(began.Add(500 * time.Millisecond)))
+			}
+			to = b.usage()
+			b.perNode(t, fmt.Sprintf("2 changes/s, run %d", run+1), from, to)
+			t.Logf("  change in force on all %d nodes: p50 %.0f ms, max %.0f ms", n, quantile(took, .5), quantile(took, 1))
+		}
+		for _, node := range b.nodes {
+			node.kill()
+		}
+		for _, p := range append(b.ctlProcs, b.standins) {
+			p.kill()
+		}
+		for _, e := range b.engines {
+			e.kill()
+		}
+	}
+}
--- /dev/null
+++ b/test/measure_test.go
@@ -0,0 +1,179 @@
+//go:build measure
+
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crankridge/crankridge/src/catalog"
+	"github.com/crankridge/crankridge/src/ctl"
+	"github.com/crankridge/crankridge/src/standin"
+)
+
+// These measure; they assert nothing. make measure runs them and prints tables.
+
+// load runs crankctl load against addresses and returns its report.
+func (b *bench) load(addrs []string, args ...string) ctl.LoadReport {
+	b.t.Helper()
+	all := append([]string{"--entry", strings.Join(addrs, ","), "--key", rideKey, "load", "--model", "climb", "--json"}, args...)
+	cmd := exec.Command(filepath.Join(binaries, "crankctl"), all...)
+	cmd.Stderr = os.Stderr
+	raw, err := cmd.Output()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	var r ctl.LoadReport
+	if err := json.Unmarshal(raw, &r); err != nil {
+		b.t.Fatal(err)
+	}
+	return r
+}
+
+func (b *bench) callerAddrs() []string {
+	var out []string
+	for _, n := range b.nodes {
+		out = append(out, n.callers)
+	}
+	return out
+}
+
+// What the path through a node adds to the first token, against the same load
+// sent to the engines directly.
+func TestMeasureAddedLatency(t *testing.T) {
+	b := newBench(t, options{nodes: 3, domains: 3, engines: 6, services: 1, modelServers: 1, engineShape: "step_ms: 5, step_per_seq: 0.02, prefill_tps: 200000, slots: 64"})
+	var engines []string
+	for _, e := range b.engines {
+		engines = append(engines, e.addr)
+	}
+	for _, c := range []struct{ name, rate, tokens string }{
+		{"200 requests/s of 1 token", "200", "1"},
+		{"2,000 tokens/s streamed (50 requests/s of 40)", "50", "40"},
+	} {
+		for run := range 3 {
+			args := []string{"--rate", c.rate, "--max-tokens", c.tokens, "--duration", "8s", "--prefix-len", "30", "--own-len", "5"}
+			direct := b.load(engines, args...)
+			via := b.load(b.callerAddrs(), args...)
+			t.Logf("%s, run %d: first token direct p50 %.2f p99 %.2f ms, through a node p50 %.2f p99 %.2f ms, added p50 %.2f p99 %.2f ms; between tokens p95 direct %.2f, through %.2f ms (sent %d, completed %d)",
+				c.name, run+1, direct.FirstP50, direct.FirstP99, via.FirstP50, via.FirstP99, via.FirstP50-direct.FirstP50, via.FirstP99-direct.FirstP99, direct.BetweenP95, via.BetweenP95, via.Sent, via.Completed)
+		}
+	}
+}
+
+// The cost of a claim: bookings that claim against the same calls made repeatable by their key being fresh.
+func TestMeasureClaim(t *testing.T) {
+	b := newBench(t, options{nodes: 5, domains: 3, engines: 1, services: 2, modelServers: 1})
+	traffic := func() (in, out int64) {
+		for _, n := range b.nodes {
+			s := b.state(n)
+			in += s.Traffic["peers_in"][0]
+			out += s.Traffic["peers_in"][1]
+		}
+		return in, out
+	}
+	const n = 2000
+	for run := range 3 {
+		idleIn, idleOut := traffic()
+		idleBegan := time.Now()
+		<-time.After(3 * time.Second)
+		in, out := traffic()
+		perSecond := float64(in-idleIn+out-idleOut) / time.Since(idleBegan).Seconds()
+		for _, claimed := range []bool{false, true} {
+			version := b.apply(catalog.Resource{Kind: catalog.KindService, Name: "booking", Service: &catalog.Service{Repeatable: !claimed}})
+			b.eventually("in force", func() bool { return b.inForce(version).Have == 5 })
+			in0, out0 := traffic()
+			began := time.Now()
+			took := make([]time.Duration, n)
+			gather(4, func(w int) {
+				for i := w; i < n; i += 4 {
+					a := booking(fmt.Sprintf("m%d-%t-%d", run, claimed, i)).with("Crankridge-Attempt", "1")
+					if !claimed {
+						delete(a.header, "Idempotency-Key")
+					}
+					r := b.nodes[i%5].send(a)
+					if r.outcome != "completed" {
+						t.Error(r.status, r.body)
+					}
+					took[i] = r.took
+				}
+			})
+			in1, out1 := traffic()
+			bytes := float64(in1-in0+out1-out0) - perSecond*time.Since(began).Seconds()
+			t.Logf("run %d claimed %t: p50 %.2f ms p99 %.2f ms, peer bytes a request %.0f", run+1, claimed, quantile(took, .5), quantile(took, .99), bytes/n)
+		}
+	}
+}
+
+func quantile(d []time.Duration, q float64) float64 {
+	s := append([]time.Duration(nil), d...)
+	for i := range s {
+		for j := i; j > 0 && s[j] < s[j-1]; j-- {
+			s[j], s[j-1] = s[j-1], s[j]
+		}
+	}
+	return float64(s[int(q*float64(len(s)-1))].Microseconds()) / 1000
+}
+
+// The route policies side by side on the same fakes and seeds.
+func TestMeasureRouting(t *testing.T) {
+	shape := "slots: 16, prefill_tps: 8000, step_ms: 15, step_per_seq: 0.4, cache_blocks: 250, lag_ms: "
+	load := []string{"--prefixes", "60", "--prefix-len", "300", "--max-tokens", "40", "--duration", "15s"}
+	steady := append([]string{"--rate", "85"}, load...)
+	surged := append([]string{"--rate", "12", "--surge", "10", "--surge-start", "3s", "--surge-ramp", "5s", "--surge-for", "5s"}, load...)
+	for _, sc := range []struct {
+		name, lag string
+		args      []string
+		disturb   func(b *bench)
+	}{
+		{"steady, reports 0.5 s old", "500", steady, nil},
+		{"steady, reports 2 s old", "2000", steady, nil},
+		{"steady, reports 5 s old", "5000", steady, nil},
+		{"surge x10 in 5 s, reports 0.5 s old", "500", surged, nil},
+		{"surge, a domain taken back at its start", "500", surged, func(b *bench) { b.reclaimDomain("fd-b", 2*time.Second) }},
+		{"steady, half the cache events lost", "500", steady, func(b *bench) {
+			for _, e := range b.engines {
+				b.admin(e.addr, "faults", standin.EngineFaults{LoseEvents: 0.5})
+			}
+		}},
+	} {
+		for _, p := range []string{"random", "round-robin", "least-outstanding", "two-choices", "estimate", "oracle"} {
+			entry, lag := fmt.Sprintf("routing: {policy: %s, report: 500ms}", p), sc.lag
+			if p == "oracle" {
+				entry, lag = "routing: {policy: estimate, report: 50ms}", "1"
+			}
+			t.Run(sc.name+"/"+p, func(t *testing.T) {
+				b := newBench(t, options{nodes: 3, domains: 4, engines: 8, services: 0, modelServers: 1, reclaimable: true, engineShape: shape + lag, entry: entry})
+				if sc.disturb != nil {
+					time.AfterFunc(3*time.Second, func() { sc.disturb(b) })
+				}
+				r := b.load(b.callerAddrs(), sc.args...)
+				t.Logf("| %s | %s | %.0f | %.0f | %.1f | %.1f%% | %d of %d | %d | %d | %.0f |", sc.name, p, r.FirstP50, r.FirstP95, r.BetweenP95, 100*r.Within, r.Prefilled, r.PromptTokens, r.Refused, r.Broken, r.TokensPS)
+			})
+		}
+	}
+}
+
+// Three times what the engines can do, from a large customer and a small one.
+func TestMeasureOverload(t *testing.T) {
+	b := newBench(t, options{nodes: 3, domains: 3, engines: 3, services: 0, modelServers: 1,
+		engineShape: "slots: 16, prefill_tps: 8000, step_ms: 15, step_per_seq: 0.4", entry: "limits: {first_token: 3s}"})
+	args := []string{"--prefixes", "5", "--prefix-len", "20", "--own-len", "5", "--max-tokens", "40"}
+	// 3 engines of 16 slots whose 40 tokens take 21 ms each.
+	full := b.load(b.callerAddrs(), append([]string{"--rate", "50", "--duration", "15s"}, args...)...)
+	capacity := 3.0 * 16 / (40 * 0.021) * 40
+	t.Logf("capacity %.0f tokens/s; at about 0.9 of it: %.0f tokens/s, refused %d", capacity, full.TokensPS, full.Refused)
+	// Three callers of weight 3 for one of weight 1.
+	r := b.load(b.callerAddrs(), append([]string{"--rate", "171", "--duration", "60s", "--keys", rideKey + "," + clinicKey}, args...)...)
+	t.Logf("at 3 times capacity for 60 s: %.0f tokens/s (%.0f%% of capacity), refused %d of %d, refusal p99 %.1f ms, first token p95 %.0f ms", r.TokensPS, 100*r.TokensPS/capacity, r.Refused, r.Sent, r.RefusalP99, r.FirstP95)
+	all := r.ByKey[0].Tokens + r.ByKey[1].Tokens
+	t.Logf("shares by weight 3 to 1: %.1f%% and %.1f%%", 100*float64(r.ByKey[0].Tokens)/float64(all), 100*float64(r.ByKey[1].Tokens)/float64(all))
+	for _, n := range b.nodes {
+		t.Logf("%s resident %d MB", n.name, residentMB(n.cmd.Process.Pid))
+	}
+}
