Bring lagging load reports forward, and bound the load of a prefix's home more tightly

A prefix's home took up to 1.5 times the mean load and 4 requests more, so its slots filled unseen; and the queue was worked off from one sum instead of as it was sent. Change 1: own sends count as they were sent, other nodes' as much on average. Change 2: bound of 1.25 times the mean and 2 requests. Ruled out: the belief in evicted prefixes; an eviction costs 41 ms, not 130.

--- a/src/claim/claim_test.go
+++ b/src/claim/claim_test.go
@@ -469,3 +469,17 @@
 	is.Equal(l.Expire(time.Unix(100+3601, 0)), 0)
 	is.Equal(vote(10, 4000), Stored)
 }
+
+func TestSealedKeeperTakesNoMoreClaimsOfTheEpoch(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(4)
+	m := Start(1, f)
+	l := keeperOf(m.Shards[0].Keepers[0], m)
+	c := Claim{Epoch: 1, Key: "k", Attempt: Attempt{ID: "a"}}
+	is.Equal(l.Vote(c, time.Unix(1, 0)).Verdict, Stored)
+	ready, records := l.Seal(0, 2) // by a keeper that knows epoch 2; this one does not yet
+	is.Equal(ready, int64(1))
+	is.Equal(len(records), 1)
+	c.Key = "later"
+	is.Equal(l.Vote(c, time.Unix(1, 0)).Verdict, StaleEpoch)
+}
--- a/src/entry/node.go
+++ b/src/entry/node.go
@@ -252,6 +252,7 @@
 		}
 	}
 	n.registry.Replace(domains)
+	n.registry.SetOthers(len(n.fleet.Nodes()) - 1)
 	if it, ok := n.view.Get(claim.MapKey); ok {
 		n.applyMap(it)
 	}
--- a/src/route/route.go
+++ b/src/route/route.go
@@ -14,12 +14,12 @@
 
 // Tunables of the choice.
 const (
-	homes       = 2   // candidates tried for the sake of the prefix
-	randoms     = 2   // candidates tried for the sake of the load
-	boundFactor = 1.5 // no candidate is loaded above this multiple of the mean
-	boundSlack  = 4.0 // requests allowed above the bound while the load is low
-	bytesPerTok = 5.0 // of prompt text, where tokens are not counted
-	meanTokens  = 128 // of an answer, to tell how long a slot stays taken
+	homes       = 2    // candidates tried for the sake of the prefix
+	randoms     = 2    // candidates tried for the sake of the load
+	boundFactor = 1.25 // no candidate is loaded above this multiple of the mean
+	boundSlack  = 2.0  // requests allowed above the bound while the load is low
+	bytesPerTok = 5.0  // of prompt text, where tokens are not counted
+	meanTokens  = 128  // of an answer, to tell how long a slot stays taken
 )
 
 // Request is what the choice depends on.
--- a/src/upstream/candidate.go
+++ b/src/upstream/candidate.go
@@ -12,6 +12,8 @@
 	defaultStepMS  = 20
 	defaultPrefill = 5000
 	defaultSlots   = 32
+	rateWindow     = 2 * time.Second // over which a node's own rate is taken
+	leastDrain     = 0.1             // of the prefill rate, whatever the others send
 )
 
 // Candidate is one upstream as a route sees it at one moment.
@@ -63,7 +65,7 @@
 		if !ok || u.isLeaving() {
 			continue
 		}
-		c := u.candidate(now, blocks)
+		c := u.candidate(now, blocks, r.others)
 		c.Version = version
 		if now.Before(u.ejected) {
 			ejected = append(ejected, c)
@@ -85,7 +87,7 @@
 	return out
 }
 
-func (u *Upstream) candidate(now time.Time, blocks []uint64) Candidate {
+func (u *Upstream) candidate(now time.Time, blocks []uint64, others int) Candidate {
 	c := Candidate{
 		Name: u.Name, Addr: u.Addr, FailureDomain: u.FailureDomain, Region: u.Region, Own: u.inflight, MoveTPS: u.MoveTPS,
 		Slots: orDefault(float64(u.Slots), defaultSlots), StepMS: orDefault(u.step, defaultStepMS),
@@ -94,36 +96,50 @@
 	if u.prefill > 0 {
 		c.PrefillTPS = u.prefill
 	}
-	c.Busy, c.QueuedTokens = u.load(now, c.PrefillTPS)
+	c.Busy, c.QueuedTokens = u.load(now, c.PrefillTPS, others)
 	c.CachedBlocks, c.Belief = u.believed(now, blocks)
 	return c
 }
 
-// load is the report, plus what this node sent since, minus what has been
-// worked off at the measured rate.
-func (u *Upstream) load(now time.Time, prefill float64) (busy, queued float64) {
+// load is the report brought forward to now: what this node sent since counts
+// as it was sent, what other nodes sent is taken to be as much on average, and
+// prompts are worked off at the measured rate.
+func (u *Upstream) load(now time.Time, prefill float64, others int) (busy, queued float64) {
 	u.sends = slices.DeleteFunc(u.sends, func(s send) bool {
-		return !s.ended.IsZero() && !s.ended.After(u.reportAt) || now.Sub(s.at) > sendsKept
+		reported := !s.ended.IsZero() && !s.ended.After(u.reportAt)
+		return reported && now.Sub(s.at) > rateWindow || now.Sub(s.at) > sendsKept
 	})
 	busy, queued = u.running+u.waiting, u.queued
+	at, drain := u.reportAt, u.drain(now, prefill, others)
 	for _, s := range u.sends {
 		reported := !s.at.After(u.reportAt)
 		switch {
-		case reported && !s.ended.IsZero():
+		case reported && s.ended.After(u.reportAt):
 			busy--
 		case !reported && s.ended.IsZero():
 			busy++
 		}
 		if !reported {
-			queued += s.tokens
+			queued = max(queued-s.at.Sub(at).Seconds()*drain, 0) + s.tokens
+			at = s.at
 		}
 	}
-	if !u.reportAt.IsZero() {
-		queued -= now.Sub(u.reportAt).Seconds() * prefill
-	}
+	queued -= now.Sub(at).Seconds() * drain
 	return max(busy, float64(u.inflight)), max(queued, 0)
 }
 
+// drain is the rate at which the queue known here gets shorter: the prefill
+// rate, less what the other nodes send meanwhile.
+func (u *Upstream) drain(now time.Time, prefill float64, others int) float64 {
+	own := 0.0
+	for _, s := range u.sends {
+		if now.Sub(s.at) < rateWindow {
+			own += s.tokens
+		}
+	}
+	return max(prefill-own/rateWindow.Seconds()*float64(others), prefill*leastDrain)
+}
+
 // believed is how many leading blocks the upstream is believed to hold, and
 // how far the belief in the last of them still holds.
 func (u *Upstream) believed(now time.Time, blocks []uint64) (int, float64) {
@@ -172,7 +188,7 @@
 		if u.reportAt.IsZero() {
 			d.ReportAge = -1
 		}
-		d.Busy, d.Queued = u.load(now, orDefault(u.prefill, defaultPrefill))
+		d.Busy, d.Queued = u.load(now, orDefault(u.prefill, defaultPrefill), r.others)
 		out = append(out, d)
 	}
 	slices.SortFunc(out, func(a, b Dump) int {
--- a/src/upstream/registry.go
+++ b/src/upstream/registry.go
@@ -53,12 +53,12 @@
 
 // Registry is the set of upstreams a node knows.
 type Registry struct {
-	mu       sync.Mutex
-	now      func() time.Time
-	all      map[string]*Upstream
-	left     map[string]time.Time // deadlines heard of, by name
-	onLeft   func(name string, deadline time.Time)
-	replaced int64
+	mu     sync.Mutex
+	now    func() time.Time
+	all    map[string]*Upstream
+	left   map[string]time.Time // deadlines heard of, by name
+	onLeft func(name string, deadline time.Time)
+	others int // nodes that send to the same upstreams
 }
 
 // NewRegistry returns an empty registry. onLeft is called once for each
@@ -67,6 +67,13 @@
 	return &Registry{now: now, all: map[string]*Upstream{}, left: map[string]time.Time{}, onLeft: onLeft}
 }
 
+// SetOthers tells how many other nodes send to the same upstreams.
+func (r *Registry) SetOthers(n int) {
+	r.mu.Lock()
+	r.others = max(n, 0)
+	r.mu.Unlock()
+}
+
 // Replace takes in the published lists. Upstreams that are no longer in them
 // are dropped; what was measured of the others stays.
 func (r *Registry) Replace(domains []Domain) {
@@ -88,7 +95,6 @@
 			delete(r.all, name)
 		}
 	}
-	r.replaced++
 	r.mu.Unlock()
 	for _, p := range leaving {
 		// Every node reads the same list, so this is not passed on.
