Keep control traffic from growing with the fleet

Change: an engine that a node has not used for 30 s is asked a quarter as often; the map's writer probes suspected nodes and four others in turn, and first failures are passed on as news; inventories carry shards only when asked; crank-control remembers what a node has; lapsed leases are taken anew over a sixth of their time. Ruled out: a larger report interval for all; busy nodes would see less, and for them reports ride on answers. Also: secrets are tested to stay out of logs and dumps.

--- a/src/control/control.go
+++ b/src/control/control.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +47,7 @@
 	journal   *telemetry.Journal
 	engines   *engine.Client
 	started   time.Time
+	known     sync.Map // complete revision last heard, by node and incarnation
 }
 
 // New builds a process; nothing runs yet.
@@ -131,10 +133,10 @@
 	for _, n := range p.fleet.Nodes() {
 		out.Nodes++
 		wg.Go(func() {
-			resp, err := p.pool.To(n.Peers).Inventory(ctx, &peer.Empty{})
+			has := p.has(ctx, n, version)
 			mu.Lock()
 			defer mu.Unlock()
-			if err == nil && resp.Complete >= version {
+			if has {
 				out.Have++
 			} else {
 				out.Lagging = append(out.Lagging, n.Name)
@@ -142,9 +144,25 @@
 		})
 	}
 	wg.Wait()
+	slices.Sort(out.Lagging)
 	return out
 }
 
+// has tells whether a version is in force on a node. A node that had it once
+// has it for good, so it is asked only until then.
+func (p *Process) has(ctx context.Context, n member.Node, version int64) bool {
+	run := n.Name + "#" + n.Incarnation
+	if known, ok := p.known.Load(run); ok && known.(int64) >= version {
+		return true
+	}
+	resp, err := p.pool.To(n.Peers).Inventory(ctx, &peer.InventoryRequest{})
+	if err != nil {
+		return false
+	}
+	p.known.Store(run, resp.Complete)
+	return resp.Complete >= version
+}
+
 // State is the dump of a crank-control.
 type State struct {
 	Node     string                `json:"node"`
--- a/src/entry/exchange.go
+++ b/src/entry/exchange.go
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
 	defer cancel()
 	resp, err := n.pool.To(addr).Exchange(ctx, &peer.ExchangeRequest{Digest: n.digest()})
-	n.fleet.Called(addr, err == nil)
+	n.called(addr, err)
 	if err != nil {
 		return
 	}
@@ -131,28 +131,25 @@
 
 // upstreamLeft queues first-hand or new second-hand news for passing on.
 func (n *Node) upstreamLeft(name string, deadline time.Time) {
-	select {
-	case n.left <- &peer.Leaving{Name: name, DeadlineMs: deadline.UnixMilli()}:
-	default:
-	}
+	n.spread(news{leaving: &peer.Leaving{Name: name, DeadlineMs: deadline.UnixMilli()}})
 }
 
-// notifyLoop passes news of leaving upstreams on to a few peers at once; each
-// of them does the same with what is new to it.
+// notifyLoop passes news on to a few peers at once; each of them does the same
+// with what is new to it.
 func (n *Node) notifyLoop(ctx context.Context) {
 	for {
-		var batch []*peer.Leaving
+		batch := &peer.NotifyRequest{}
 		select {
 		case <-ctx.Done():
 			return
-		case l := <-n.left:
-			batch = append(batch, l)
+		case item := <-n.news:
+			item.into(batch)
 		}
 		wait := time.After(flushNotices)
 		for open := true; open; {
 			select {
-			case l := <-n.left:
-				batch = append(batch, l)
+			case item := <-n.news:
+				item.into(batch)
 			case <-wait:
 				open = false
 			}
@@ -165,22 +162,60 @@
 	}
 }
 
-func (n *Node) notify(ctx context.Context, addr string, batch []*peer.Leaving) {
+// called notes the result of a call to a peer; a first failure is passed on,
+// so that whoever writes the shard map hears of it.
+func (n *Node) called(addr string, err error) {
+	if silent := n.fleet.Called(addr, err == nil); silent != "" && n.fleet.Told(silent) {
+		n.spread(news{suspect: silent})
+	}
+}
+
+// news is one thing to pass on: a leaving upstream or a suspected node.
+type news struct {
+	leaving *peer.Leaving
+	suspect string
+}
+
+func (i news) into(m *peer.NotifyRequest) {
+	if i.leaving != nil {
+		m.Leaving = append(m.Leaving, i.leaving)
+	}
+	if i.suspect != "" {
+		m.Suspects = append(m.Suspects, i.suspect)
+	}
+}
+
+func (n *Node) spread(item news) {
+	select {
+	case n.news <- item:
+	default:
+	}
+}
+
+func (n *Node) notify(ctx context.Context, addr string, batch *peer.NotifyRequest) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
 	defer cancel()
-	_, err := n.pool.To(addr).Notify(ctx, &peer.NotifyRequest{Leaving: batch})
-	n.fleet.Called(addr, err == nil)
+	_, err := n.pool.To(addr).Notify(ctx, batch)
+	n.called(addr, err)
 }
 
-// Notify takes in news of leaving upstreams.
+// Notify takes in news of leaving upstreams and suspected nodes.
 func (n *Node) Notify(_ context.Context, m *peer.NotifyRequest) (*peer.Empty, error) {
 	n.takeLeaving(m.Leaving)
+	for _, name := range m.Suspects {
+		if n.fleet.Told(name) {
+			n.spread(news{suspect: name})
+		}
+	}
 	return &peer.Empty{}, nil
 }
 
 // Inventory tells what is in force here and which shards this node is ready for.
-func (n *Node) Inventory(context.Context, *peer.Empty) (*peer.InventoryResponse, error) {
+func (n *Node) Inventory(_ context.Context, m *peer.InventoryRequest) (*peer.InventoryResponse, error) {
 	out := &peer.InventoryResponse{Node: n.self.Name, Complete: n.revision()}
+	if !m.Shards {
+		return out, nil
+	}
 	for shard, epoch := range n.ledger.Ready() {
 		out.Ready = append(out.Ready, &peer.ShardReady{Shard: int32(shard), Epoch: epoch})
 	}
--- a/src/entry/node.go
+++ b/src/entry/node.go
@@ -30,6 +30,7 @@
 	engineTimeout = 2 * time.Second
 	sweepEvery    = time.Second
 	noticeEvery   = time.Second
+	newsQueued    = 1024
 )
 
 // Node is one crank-entry process.
@@ -50,7 +51,8 @@
 	metrics   *telemetry.Metrics
 	coord     *serve.Coordinator
 	callers   *caller.Server
-	left      chan *peer.Leaving
+	news      chan news
+	probed    int // nodes probed so far, in turn
 	gather    chan int
 	started   time.Time
 	stopping  chan time.Time // a deadline set by a reclaim notice
@@ -64,7 +66,7 @@
 	}
 	n := &Node{
 		set: set, metrics: metrics, view: view.New(), started: time.Now(),
-		left: make(chan *peer.Leaving, 1024), gather: make(chan int, 4096), stopping: make(chan time.Time, 1),
+		news: make(chan news, newsQueued), gather: make(chan int, 4096), stopping: make(chan time.Time, 1),
 	}
 	n.self = member.Node{
 		Name: set.Node.Name, Incarnation: uuid.NewString()[:8], VM: set.Node.VM, FailureDomain: set.Node.FailureDomain, Region: set.Node.Region,
--- a/src/entry/shardmap.go
+++ b/src/entry/shardmap.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,11 +14,13 @@
 )
 
 const (
-	mapEvery    = 500 * time.Millisecond
-	mapCall     = time.Second
-	startAlone  = 5 * time.Second // how long a fleet of two waits for a third before the first map
-	probeEvery  = 2 * time.Second
-	startEnough = claim.KeepersPerShard
+	mapEvery   = 500 * time.Millisecond
+	mapCall    = time.Second
+	startAlone = 5 * time.Second // how long a fleet of two waits for a third before the first map
+	probeEvery = 2 * time.Second
+	// probedAtOnce is how many nodes are called in a round of probes.
+	probedAtOnce = 4
+	startEnough  = claim.KeepersPerShard
 )
 
 // mapLoop keeps the shard map fitting the fleet. Any node may write it, by
@@ -56,13 +59,28 @@
 	return false
 }
 
-// probe calls every node, so that a silent keeper is noticed.
+// probe calls the nodes that somebody suspects, then others in turn, up to a
+// bound that does not grow with the fleet.
 func (n *Node) probe(ctx context.Context) {
-	n.ask(ctx, n.fleet.Nodes())
+	nodes := n.fleet.Nodes()
+	var due []member.Node
+	for _, o := range nodes {
+		if n.fleet.Doubtful(o.Name) {
+			due = append(due, o)
+		}
+	}
+	for range nodes {
+		if len(due) >= probedAtOnce {
+			break
+		}
+		n.probed++
+		due = append(due, nodes[n.probed%len(nodes)])
+	}
+	n.ask(ctx, due, false)
 }
 
 // ask reads the inventories of nodes, all at once.
-func (n *Node) ask(ctx context.Context, nodes []member.Node) map[string]map[int]int64 {
+func (n *Node) ask(ctx context.Context, nodes []member.Node, shards bool) map[string]map[int]int64 {
 	ctx, cancel := context.WithTimeout(ctx, mapCall)
 	defer cancel()
 	var mu sync.Mutex
@@ -73,8 +91,8 @@
 			continue
 		}
 		wg.Go(func() {
-			resp, err := n.pool.To(o.Peers).Inventory(ctx, &peer.Empty{})
-			n.fleet.Called(o.Peers, err == nil)
+			resp, err := n.pool.To(o.Peers).Inventory(ctx, &peer.InventoryRequest{Shards: shards})
+			n.called(o.Peers, err)
 			if err != nil {
 				return
 			}
@@ -107,7 +125,7 @@
 			return
 		}
 		if hasPassive(m) {
-			ready := n.ask(ctx, nodes)
+			ready := n.ask(ctx, passiveKeepers(m, nodes), true)
 			fleet.Ready = func(k claim.Node, shard int) int64 { return ready[k.Name][shard] }
 		}
 		changed := false
@@ -139,6 +157,17 @@
 	}
 }
 
+// passiveKeepers are the nodes that keep a shard which is not active yet.
+func passiveKeepers(m claim.Map, nodes []member.Node) []member.Node {
+	wanted := map[string]bool{}
+	for _, s := range m.Shards {
+		for _, k := range s.Keepers {
+			wanted[k.Name] = wanted[k.Name] || !s.Active
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(nodes), func(o member.Node) bool { return !wanted[o.Name] })
+}
+
 func hasPassive(m claim.Map) bool {
 	for _, s := range m.Shards {
 		if !s.Active {
--- a/src/member/node.go
+++ b/src/member/node.go
@@ -61,12 +61,13 @@
 	failed  map[string]time.Time // first failure since the last success
 	latest  map[string]time.Time // last failure
 	gone    map[string]bool      // VMs
+	told    map[string]time.Time // when other nodes last suspected a node
 }
 
 // NewFleet returns an empty fleet as seen by the node self.
 func NewFleet(self string, now func() time.Time) *Fleet {
 	return &Fleet{now: now, self: self, records: map[string]Node{}, lapsed: map[string]Node{}, heard: map[string]time.Time{},
-		load: map[string]int{}, failed: map[string]time.Time{}, latest: map[string]time.Time{}, gone: map[string]bool{}}
+		load: map[string]int{}, failed: map[string]time.Time{}, latest: map[string]time.Time{}, gone: map[string]bool{}, told: map[string]time.Time{}}
 }
 
 // Update takes in the node records and the list of gone VMs of a view.
@@ -140,8 +141,9 @@
 	delete(f.latest, name)
 }
 
-// Called notes the result of a call to the node at a peer address.
-func (f *Fleet) Called(addr string, ok bool) {
+// Called notes the result of a call to the node at a peer address. When it is
+// the first failure since a success, it returns the node's name.
+func (f *Fleet) Called(addr string, ok bool) (silent string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	name := ""
@@ -157,11 +159,34 @@
 		delete(f.failed, name)
 		delete(f.latest, name)
 	default:
-		if _, since := f.failed[name]; !since {
+		_, since := f.failed[name]
+		if !since {
 			f.failed[name] = f.now()
+			silent = name
 		}
 		f.latest[name] = f.now()
 	}
+	return silent
+}
+
+// Told notes that another node suspects a node; true when that is news.
+func (f *Fleet) Told(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, known := f.told[name]
+	f.told[name] = f.now()
+	return !known || f.now().Sub(at) > heardFor
+}
+
+// Doubtful tells whether this node or others suspected the node lately.
+func (f *Fleet) Doubtful(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, failed := f.failed[name]; failed {
+		return true
+	}
+	at, known := f.told[name]
+	return known && f.now().Sub(at) < heardFor
 }
 
 // Suspect tells whether calls to the node failed lately. It steers work; it
--- a/src/member/register.go
+++ b/src/member/register.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 const (
 	renewParts    = 3 // renewals within one lease
 	retryRegister = time.Second
+	spreadParts   = 6 // registrations after lapsed leases are spread over this part of one
 )
 
 // Registrar keeps a node's record in the key-value service under a lease.
@@ -62,6 +64,11 @@
 			klog.V(1).InfoS("register", "err", err)
 			wait = retryRegister
 		}
+		if errors.Is(err, platform.ErrLeaseGone) {
+			// Many leases lapse together when an outage ends; a node without
+			// a record is still heard, so there is time to come back one by one.
+			wait = rand.N(r.lease / spreadParts)
+		}
 	}
 }
 
@@ -70,7 +77,8 @@
 		err := r.kv.KeepAlive(ctx, *lease)
 		if errors.Is(err, platform.ErrLeaseGone) {
 			*lease, r.known = 0, ""
-		} else if err != nil {
+		}
+		if err != nil {
 			return err
 		}
 	}
--- a/src/serve/report.go
+++ b/src/serve/report.go
@@ -43,8 +43,7 @@
 func (c *Coordinator) Poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, name := range c.Registry.Names(upstream.KindEngine) {
-			age, ok := c.Registry.ReportAge(name)
-			if ok && age >= c.Set.Routing.Report && c.follows(name) {
+			if c.Registry.ReportDue(name, c.Set.Routing.Report) && c.follows(name) {
 				go c.pollOne(ctx, name)
 			}
 		}
--- a/src/upstream/registry.go
+++ b/src/upstream/registry.go
@@ -14,6 +14,8 @@
 	ejectMost      = 30 * time.Second
 	ejectAfter     = 2 // failures in a row that are not refused connections
 	returnSteps    = 4 // successes until an ejected upstream has its full share again
+	unusedAfter    = 30 * time.Second
+	unusedFactor   = 4
 	leavingKept    = 10 * time.Minute
 	ewmaNew        = 0.2
 	beliefHalfLife = 2 * time.Minute
@@ -41,6 +43,7 @@
 	cacheSeq int64
 	inflight int
 	sends    []send
+	used     time.Time // of the last request
 	beliefs  map[uint64]time.Time
 }
 
@@ -242,15 +245,21 @@
 	u.reportAt, u.running, u.waiting, u.queued, u.step = at, running, waiting, queued, step
 }
 
-// ReportAge tells how old the last report is, and whether the upstream is known.
-func (r *Registry) ReportAge(name string) (time.Duration, bool) {
+// ReportDue tells whether an upstream should be asked for its load: when the
+// last report is older than every. One that this node has not used for a
+// while is asked a quarter as often: the first answer of its next request
+// tells as much.
+func (r *Registry) ReportDue(name string, every time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u := r.all[name]
 	if u == nil {
-		return 0, false
+		return false
+	}
+	if r.now().Sub(u.used) > unusedAfter && !u.reportAt.IsZero() {
+		every *= unusedFactor
 	}
-	return r.now().Sub(u.reportAt), true
+	return r.now().Sub(u.reportAt) >= every
 }
 
 // Begin counts a request out to the upstream: the prompt tokens it must
@@ -264,6 +273,7 @@
 		return func() {}
 	}
 	now := r.now()
+	u.used = now
 	u.inflight++
 	u.sends = append(u.sends, send{at: now, tokens: tokens})
 	if len(u.beliefs) < beliefsKept {
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/crankridge/crankridge/src/catalog"
 	"github.com/crankridge/crankridge/src/ctl"
+	"github.com/crankridge/crankridge/src/event"
 	"github.com/crankridge/crankridge/src/standin"
 )
 
@@ -177,3 +178,62 @@
 		t.Logf("%s resident %d MB", n.name, residentMB(n.cmd.Process.Pid))
 	}
 }
+
+// A reclaim wave in the midst of an event, with replacements refused for a
+// while: the product against all on-demand, and against no spreading.
+func TestMeasureWave(t *testing.T) {
+	for _, v := range []struct{ name, control string }{
+		{"spread, by price and reclaims", ""},
+		{"all on-demand", ", on_demand_only: true"},
+		{"reclaimable, not spread", ", spread: false"},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			b := newBench(t, options{nodes: 3, domains: 3, engines: 0, modelServers: 0, offers: offers, control: ", most_servers: 50" + v.control,
+				engineShape: "slots: 16, prefill_tps: 8000, step_ms: 15, step_per_seq: 0.4", entry: "routing: {report: 500ms}"})
+			b.applyAt(0, surge("rides", time.Now().Add(4*time.Second), 4))
+			b.eventually("in force", func() bool { return b.eventStatus("rides").Phase == event.InForce })
+			before := b.cost()
+			began := time.Now()
+			degraded := make(chan time.Duration, 1)
+			time.AfterFunc(5*time.Second, func() {
+				b.admin(b.cloud, "faults", standin.CloudFaults{Refuse: []string{"all"}})
+				b.admin(b.cloud, "reclaim", standin.Reclaim{FailureDomain: "fd-a", Role: "engine", NoticeMS: 1000})
+				time.AfterFunc(5*time.Second, func() { b.admin(b.cloud, "faults", standin.CloudFaults{Refuse: []string{"fd-a"}}) })
+			})
+			go func() {
+				bad := time.Duration(0)
+				for time.Since(began) < 24*time.Second {
+					if b.eventStatus("rides").Phase != event.InForce {
+						bad += 100 * time.Millisecond
+					}
+					<-time.After(100 * time.Millisecond)
+				}
+				degraded <- bad
+			}()
+			r := b.load(b.callerAddrs(), "--rate", "55", "--prefixes", "20", "--prefix-len", "100", "--max-tokens", "40", "--duration", "24s")
+			after := b.cost()
+			hours := time.Since(began).Hours()
+			t.Logf("| %s | %.1f | %.1f%% | %.0f | %.0f | %d | %d | %.1f s |", v.name, (after.Price-before.Price)/hours, 100*r.Within, r.FirstP50, r.FirstP95, r.Refused, r.Broken, (<-degraded).Seconds())
+		})
+	}
+}
+
+// Processor time and memory of the data path, for each request and each token.
+func TestMeasurePath(t *testing.T) {
+	b := newBench(t, options{nodes: 3, domains: 3, engines: 12, services: 1, modelServers: 1, engineShape: "step_ms: 10, step_per_seq: 0.02, prefill_tps: 200000, slots: 128"})
+	cpu := func() (sum float64) {
+		for _, n := range b.nodes {
+			sum += cpuSeconds(n.cmd.Process.Pid)
+		}
+		return sum
+	}
+	for run := range 3 {
+		for _, c := range []struct{ rate, tokens string }{{"300", "1"}, {"60", "40"}, {"60", "100"}} {
+			from, began := cpu(), time.Now()
+			r := b.load(b.callerAddrs(), "--rate", c.rate, "--max-tokens", c.tokens, "--duration", "8s", "--prefix-len", "100", "--own-len", "5")
+			used := cpu() - from
+			t.Logf("run %d: %s requests/s of %s tokens: completed %d of %d, %.0f tokens/s; processor %.0f us a request, %.1f us a token at most; resident %d MB; lasted %.1f s",
+				run+1, c.rate, c.tokens, r.Completed, r.Sent, r.TokensPS, 1e6*used/float64(r.Completed), 1e6*used/(r.TokensPS*time.Since(began).Seconds()), residentMB(b.nodes[0].cmd.Process.Pid), time.Since(began).Seconds())
+		}
+	}
+}
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -231,3 +231,35 @@
 	})
 	is.Equal(b.nodes[1].send(booking("after")).status, 200)
 }
+
+// No secret shows in a log or a state dump.
+func TestSecretsStayInside(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, small)
+	is.Equal(b.nodes[0].send(chat("hello", 3, false)).status, 200)
+	is.Equal(b.nodes[0].send(booking("k")).status, 200)
+	stranger := booking("k")
+	stranger.bearer = "wrong-secret-key"
+	is.Equal(b.nodes[0].send(stranger).status, 401)
+	texts := map[string]string{}
+	for _, n := range b.nodes {
+		var dump json.RawMessage
+		is.Equal(get("http://"+n.operators+"/debug/state", token, &dump), 200)
+		texts["dump of "+n.name] = string(dump)
+		is.Equal(get("http://"+n.operators+"/debug/state", "wrong", nil), 401)
+		is.Equal(get("http://"+n.peers+"/twirp/crankridge.peer.Peer/Inventory", "wrong", nil), 401)
+	}
+	logs, _ := filepath.Glob(filepath.Join(b.dir, "*.log"))
+	for _, path := range logs {
+		raw, err := os.ReadFile(path)
+		is.NoErr(err)
+		texts[path] = string(raw)
+	}
+	for where, text := range texts {
+		for _, secret := range []string{"test-peer", token, rideKey, clinicKey, "wrong-secret-key", catalog.HashKey(rideKey)} {
+			if strings.Contains(text, secret) {
+				t.Errorf("%s shows %q", where, secret)
+			}
+		}
+	}
+}
