--- a/src/claim/attempts.go
+++ b/src/claim/attempts.go
@@ -58,6 +58,13 @@
 	a.move(id, now, Released, Claiming, Sent)
 }
 
+// Released tells whether the attempt was released.
+func (a *Attempts) Released(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.states[id].state == Released
+}
+
 // Finish marks a sent attempt as ended.
 func (a *Attempts) Finish(id string, now time.Time) { a.move(id, now, Done, Sent) }
 
--- a/src/entry/node.go
+++ b/src/entry/node.go
@@ -18,6 +18,7 @@
 	"github.com/crankridge/crankridge/src/member"
 	"github.com/crankridge/crankridge/src/peer"
 	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/process"
 	"github.com/crankridge/crankridge/src/serve"
 	"github.com/crankridge/crankridge/src/settings"
 	"github.com/crankridge/crankridge/src/telemetry"
@@ -293,35 +294,19 @@
 	}
 }
 
-func (n *Node) sweepLoop(ctx context.Context) {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			n.coord.Sweep()
-		}
-	}
-}
+func (n *Node) sweepLoop(ctx context.Context) { process.Every(ctx, sweepEvery, n.coord.Sweep) }
 
 // noticeLoop asks the platform whether this VM is taken back.
 func (n *Node) noticeLoop(ctx context.Context) {
 	if n.cloud == nil || n.set.Node.VM == "" {
 		return
 	}
-	tick := time.NewTicker(noticeEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	ctx, enough := context.WithCancel(ctx)
+	defer enough()
+	process.Every(ctx, noticeEvery, func() {
 		if deadline, ok, err := n.cloud.Notice(ctx, n.set.Node.VM); err == nil && ok {
 			n.stopping <- deadline
-			return
+			enough()
 		}
-	}
+	})
 }
--- a/src/entry/shardmap.go
+++ b/src/entry/shardmap.go
@@ -11,6 +11,7 @@
 	"github.com/crankridge/crankridge/src/claim"
 	"github.com/crankridge/crankridge/src/member"
 	"github.com/crankridge/crankridge/src/peer"
+	"github.com/crankridge/crankridge/src/process"
 )
 
 const (
@@ -26,24 +27,17 @@
 // mapLoop keeps the shard map fitting the fleet. Any node may write it, by
 // compare-and-swap; the first live node by name does, to save calls.
 func (n *Node) mapLoop(ctx context.Context) {
-	tick := time.NewTicker(mapEvery)
-	defer tick.Stop()
 	probed := time.Time{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	process.Every(ctx, mapEvery, func() {
 		if !n.writesMap() {
-			continue
+			return
 		}
 		if time.Since(probed) > probeEvery {
 			n.probe(ctx)
 			probed = time.Now()
 		}
 		n.mapRound(ctx)
-	}
+	})
 }
 
 // writesMap tells whether this node is the first live one by name.
--- /dev/null
+++ b/src/plan/release.go
@@ -0,0 +1,68 @@
+package plan
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/crankridge/crankridge/src/platform"
+)
+
+// release gives back bought VMs beyond what is needed: first out of use, then,
+// after a grace in which their streams end, terminated.
+func (b *builder) release() {
+	for _, i := range b.sortedIntents() {
+		if i.ReleaseMS == 0 {
+			continue
+		}
+		if b.in.Now.UnixMilli() >= i.ReleaseMS+releaseGrace.Milliseconds() {
+			b.out.Terminate = append(b.out.Terminate, i.Name)
+			if b.isGone(i.Name) {
+				delete(b.intents, i.Name)
+			}
+		}
+	}
+	for _, n := range b.byPriority() {
+		b.releaseSurplus(n)
+	}
+}
+
+func (b *builder) isGone(name string) bool {
+	return !slices.ContainsFunc(b.in.VMs, func(vm platform.VM) bool {
+		return vm.Name == name && vm.State != platform.VMTerminated
+	})
+}
+
+func (b *builder) releaseSurplus(n *Need) {
+	for {
+		best := ""
+		for _, i := range b.sortedIntents() {
+			e := b.engines[i.Name]
+			if i.Model != n.Model || i.ReleaseMS > 0 || e == nil || !e.loaded {
+				continue
+			}
+			without := maps.Clone(n.Ready)
+			without[i.Offer.FailureDomain]--
+			if Left(without, b.in.Params.Spread) >= n.Servers && (best == "" || i.Offer.HourPrice > b.intents[best].Offer.HourPrice) {
+				best = i.Name
+			}
+		}
+		if best == "" {
+			return
+		}
+		i := b.intents[best]
+		i.ReleaseMS = b.in.Now.UnixMilli()
+		b.intents[best] = i
+		n.Ready[i.Offer.FailureDomain]--
+		delete(b.engines, best)
+	}
+}
+
+func (b *builder) sortedIntents() []Intent {
+	return slices.SortedFunc(maps.Values(b.intents), func(x, y Intent) int { return cmp.Compare(x.Name, y.Name) })
+}
+
+func (b *builder) finish() {
+	b.out.Intents = b.sortedIntents()
+	slices.Sort(b.out.Terminate)
+}
--- a/src/serve/call.go
+++ b/src/serve/call.go
@@ -138,6 +138,7 @@
 			return yielded()
 		}
 		c.Metrics.Added(c.Now().Sub(f.Began))
+		c.explain.Add(f.Key, "called", "server "+up.Name+" in "+up.FailureDomain)
 		end := c.Registry.Begin(up.Name, 0, nil)
 		res := c.calls.send(ctx, up.Addr, a.Call, a.Key, c.fencing(f), a.Repeatable)
 		end()
--- a/src/serve/claims.go
+++ b/src/serve/claims.go
@@ -127,7 +127,9 @@
 		Shard: shard, Epoch: def.Epoch, Key: f.Key, Digest: f.Digest, Attempt: c.attempt(f), Repeatable: a.Repeatable, Superseded: superseded,
 	}
 	t := &claim.Tally{Asked: len(def.Keepers), Need: c.need(def)}
-	ctx, cancel := context.WithTimeout(ctx, c.Set.Claims.Timeout)
+	// The last keeper's copy still matters when the request has ended, so the
+	// calls are not called off with it.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.Set.Claims.Timeout)
 	replies := make(chan *claim.Reply, len(def.Keepers))
 	for _, k := range def.Keepers {
 		go func() { replies <- c.askKeeper(ctx, k, msg) }()
@@ -138,7 +140,6 @@
 			break
 		}
 	}
-	// The last keeper's copy still matters; it is not called off.
 	time.AfterFunc(c.Set.Claims.Timeout, cancel)
 	return t
 }
--- a/src/serve/coordinator.go
+++ b/src/serve/coordinator.go
@@ -99,7 +99,7 @@
 	c.catalog.Store(empty)
 }
 
-const journalEntries = 4096
+const journalEntries = 16384
 
 // SetCatalog and SetShards take in what is newly in force.
 func (c *Coordinator) SetCatalog(s *catalog.Snapshot) { c.catalog.Store(s) }
@@ -218,6 +218,7 @@
 	res := c.claimKey(ctx, f, a)
 	switch {
 	case res.granted:
+		c.explain.Add(f.Key, "claimed", "attempt "+f.Attempt)
 		f.Certain = f.Certain || res.first
 		return c.send(ctx, f, a, res.place)
 	case res.answer != nil:
@@ -255,6 +256,10 @@
 func (c *Coordinator) settle(f *request.Flight, a Ask, answer request.Answer) {
 	if answer.Outcome == request.NotRun {
 		c.Attempts.Withdraw(f.Attempt, c.Now())
+	}
+	if c.Attempts.Released(f.Attempt) {
+		// Also when another attempt won: what this one was told is not the
+		// fate of the request.
 		if f.Claimed {
 			c.tellKeepers(f, &peer.SettleRequest{Released: true})
 		}
