Refuse under overload by fair share; a refusal by an engine is not a run

Cause: a request not repeatable that an engine refused with 503 counted as reached, so its caller was told 'may have run' and no other engine was tried. Only an answer that took the request up counts now. The new test fails before. Cause: at 3 times capacity a customer of weight 3 and one of weight 1 got 50.3 and 49.7% of the tokens: the queue was fair, but who was let into it was decided by the whole backlog. The wait is now estimated from the customer's own backlog and share. New property: shares within a tenth of the weights under overload.

--- a/src/admit/admit_test.go
+++ b/src/admit/admit_test.go
@@ -53,6 +53,41 @@
 	is.Fail()
 }
 
+// Under overload, who is refused follows the weights as well: each customer's
+// backlog may be as long as its share is served in the time allowed.
+func TestOverloadSharesFollowWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 4).Draw(t, "weights")
+		q := NewQueue(100000, 1<<30)
+		const allowed = 60.0 // cost that may be ahead
+		served := map[string]int{}
+		total := 0
+		for _, w := range weights {
+			total += w
+		}
+		for round := range 3000 {
+			for c, w := range weights { // all ask for as much, more than there is
+				name := fmt.Sprint(c)
+				if q.Ahead(name, w, 0) < allowed {
+					q.Push(&Entry{Customer: name, Weight: w, Cost: 1})
+				}
+			}
+			if e := q.Pop(); e != nil && round >= 1000 {
+				served[e.Customer]++
+			}
+		}
+		for c, w := range weights {
+			want := 2000 * float64(w) / float64(total)
+			if got := float64(served[fmt.Sprint(c)]); got < want*0.9 || got > want*1.1 {
+				t.Fatalf("customer %d of weight %d: %v served, %v due of %v", c, w, got, want, weights)
+			}
+		}
+		if q.Len() > int(allowed)+len(weights) {
+			t.Fatalf("backlog %d", q.Len())
+		}
+	})
+}
+
 func TestQueueIsBounded(t *testing.T) {
 	is := is.New(t)
 	q := NewQueue(2, 100)
--- a/src/admit/queue.go
+++ b/src/admit/queue.go
@@ -169,15 +169,30 @@
 // Bytes is the size of all entries.
 func (q *Queue) Bytes() int { return q.bytes }
 
-// Ahead is the cost of the entries that would go before e, by priority.
-func (q *Queue) Ahead(priority int) float64 {
-	sum := 0.0
-	for _, l := range q.waiting {
+// Ahead is the cost that would be served before a new entry of a customer
+// starts: all of higher priority, and of its own priority what its fair share
+// lets go first. A customer below its share is not kept out by another's
+// backlog, and one above it learns how long its own is.
+func (q *Queue) Ahead(customer string, weight, priority int) float64 {
+	higher, equal, own := 0.0, 0.0, 0.0
+	weights := float64(max(weight, 1))
+	for name, l := range q.waiting {
+		counted := false
 		for el := l.Front(); el != nil; el = el.Next() {
-			if e := el.Value.(*Entry); e.Priority >= priority {
-				sum += e.Cost
+			e := el.Value.(*Entry)
+			switch {
+			case e.Priority > priority:
+				higher += e.Cost
+			case e.Priority == priority:
+				equal += e.Cost
+				if name == customer {
+					own += e.Cost
+				} else if !counted {
+					counted = true
+					weights += float64(max(e.Weight, 1))
+				}
 			}
 		}
 	}
-	return sum
+	return higher + min(own*weights/float64(max(weight, 1)), equal)
 }
--- a/src/engine/client.go
+++ b/src/engine/client.go
@@ -66,6 +66,7 @@
 
 // Meta is what an answer says of the engine itself.
 type Meta struct {
+	Started   bool // the engine took the request up
 	Load      *Load
 	LeavingMS int64
 }
@@ -102,7 +103,9 @@
 		return connectError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	meta(metaOf(resp.Header))
+	m := metaOf(resp.Header)
+	m.Started = resp.StatusCode == http.StatusOK
+	meta(m)
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp)
 	}
--- a/src/serve/lanes.go
+++ b/src/serve/lanes.go
@@ -248,7 +248,7 @@
 			return nil, g, nil
 		}
 	}
-	wait := ln.wait(cands, a.Target.Priority, len(l.c.Fleet.Nodes()))
+	wait := ln.wait(cands, a, len(l.c.Fleet.Nodes()))
 	if over := wait - l.target(a); over > 0 && !w.begun {
 		return nil, granted{}, refuseLate(over)
 	}
@@ -278,13 +278,14 @@
 
 // wait estimates when a request entering now would start: those ahead of it,
 // over the rate at which this node's part of the slots comes free.
-func (ln *lane) wait(cands []upstream.Candidate, priority, nodes int) time.Duration {
+func (ln *lane) wait(cands []upstream.Candidate, a Ask, nodes int) time.Duration {
 	slots := 0.0
 	for _, c := range cands {
 		slots += c.Slots
 	}
 	rate := slots / ln.hold / float64(max(nodes, 1))
-	return time.Duration((ln.queue.Ahead(priority) + 1) / rate * float64(time.Second))
+	ahead := ln.queue.Ahead(a.Customer, a.Target.Share, a.Target.Priority)
+	return time.Duration((ahead + 1) / rate * float64(time.Second))
 }
 
 // held takes in how long a request held its slot.
--- a/src/serve/stream.go
+++ b/src/serve/stream.go
@@ -133,7 +133,6 @@
 // meta takes in what an answer's head says of its engine.
 func (r *run) meta(name string) func(engine.Meta) {
 	return func(m engine.Meta) {
-		r.sent = true
 		if m.LeavingMS > 0 {
 			r.c.Registry.Leave(name, time.UnixMilli(m.LeavingMS))
 		}
@@ -141,7 +140,10 @@
 			n := m.Load.Named
 			r.c.Registry.Report(name, time.UnixMilli(int64(n.AtMS)), n.Running, n.Waiting, n.QueuedTokens, n.StepMS)
 		}
-		r.c.notePlace(r.f, r.a, name, r.base)
+		if m.Started {
+			r.sent = true
+			r.c.notePlace(r.f, r.a, name, r.base)
+		}
 	}
 }
 
--- a/test/once_test.go
+++ b/test/once_test.go
@@ -141,6 +141,23 @@
 	is.Equal(b.runs()["reset"], 1)
 }
 
+// An engine that refuses before it starts has not run the request: it goes to
+// another engine although it must not run twice.
+func TestRefusedByAnEngineIsNotRun(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, options{nodes: 3, domains: 3, engines: 3, modelServers: 1})
+	raw := `{"epoch": 1000000, "op": "unload", "name": "climb"}`
+	resp, err := http.Post("http://"+b.engines[0].addr+"/v1/orders", "application/json", strings.NewReader(raw))
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	gather(30, func(i int) {
+		r := b.nodes[i%3].send(chat(narrative(i), 5, false).with("Crankridge-Repeatable", "false").with("Idempotency-Key", fmt.Sprintf("once-%d", i)))
+		if r.outcome != "completed" {
+			t.Errorf("%d: %d %s %s", i, r.status, r.outcome, r.body)
+		}
+	})
+}
+
 func TestAttach(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, small)
