--- a/src/caller/call.go
+++ b/src/caller/call.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -27,6 +28,9 @@
 	if !ok {
 		return
 	}
+	if limit := time.Duration(svc.Service.TimeoutMS) * time.Millisecond; limit > 0 {
+		a.Deadline = earlier(a.Deadline, s.coord.Now().Add(limit))
+	}
 	path := strings.TrimPrefix(r.URL.RequestURI(), "/v1/services/"+name)
 	if !strings.HasPrefix(path, "/") {
 		path = "/" + path
@@ -43,6 +47,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func writeCall(w http.ResponseWriter, a request.Answer) {
 	if a.Code != "" {
 		writeAnswerError(w, a)
--- a/src/catalog/resource.go
+++ b/src/catalog/resource.go
@@ -96,9 +96,11 @@
 type Service struct {
 	// Repeatable tells whether a call may be run twice; a caller may say
 	// otherwise for one call only towards not repeatable.
-	Repeatable    bool `json:"repeatable"`
+	Repeatable bool `json:"repeatable"`
+	// ChecksFencing tells operators that the service refuses calls with an
+	// older fencing token. The token is sent to all; nothing else depends on it.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
-	TimeoutMS     int  `json:"timeout_ms,omitempty"`
+	TimeoutMS     int  `json:"timeout_ms,omitempty"` // of one call, all tries together; 0 for the request's own
 }
 
 // Customer is an organisation or person whose calls are served.
--- a/src/serve/codes.go
+++ b/src/serve/codes.go
@@ -16,6 +16,7 @@
 	codeNoUpstream      = "no_upstream"
 	codeOverload        = "overload"
 	codeUpstreamLost    = "upstream_lost"
+	codeStalled         = "upstream_stalled"
 	codeInvalid         = "invalid_request"
 	codeBudget          = "retry_budget"
 	codeTooLarge        = "answer_too_large"
--- a/src/serve/completion.go
+++ b/src/serve/completion.go
@@ -18,6 +18,10 @@
 	backoffMost = time.Second
 	startTries  = 6
 	finishLen   = "length"
+	// stallsMost engines that give no first token are enough: the request is
+	// not held until its deadline.
+	stallsMost   = 3
+	retryStalled = 2 * time.Second
 )
 
 // Causes of recomputed tokens.
@@ -44,6 +48,8 @@
 	avoid map[string]bool
 	wait  time.Duration
 
+	stalls int // engines that took the request and gave no token
+
 	pause   chan struct{} // closed when an event in force needs the place
 	paused  bool
 	finish  string
@@ -164,6 +170,12 @@
 	if !r.a.Repeatable && r.sent && !r.wasLeaving(name) {
 		return request.Unsure(codeUpstreamLost, "the engine was lost while it ran the request", 0), true
 	}
+	if n == 0 && errors.Is(err, engine.ErrStalled) {
+		r.stalls++
+	}
+	if r.stalls >= stallsMost {
+		return request.Unsure(codeStalled, "several engines took the request and gave no token in time", request.Jitter(retryStalled)), true
+	}
 	if n == 0 && !r.c.budget.Spend() {
 		return r.giveUp(), true
 	}
--- a/src/standin/service.go
+++ b/src/standin/service.go
@@ -24,6 +24,7 @@
 type ServiceFaults struct {
 	DelayMS     int  `json:"delay_ms"`     // between running a call and answering it
 	ResetBefore int  `json:"reset_before"` // next calls whose connection is reset before they run
+	ResetDuring int  `json:"reset_during"` // next calls reset while their body arrives; they do not run
 	ResetAfter  int  `json:"reset_after"`  // next calls that run and are reset unanswered
 	Refuse      int  `json:"refuse"`       // next calls refused before they start
 	Hang        bool `json:"hang"`
@@ -78,6 +79,10 @@
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	if s.resetsBody() {
+		_, _ = io.ReadFull(r.Body, make([]byte, 1))
+		panic(http.ErrAbortHandler)
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBody))
 	if err != nil {
 		return
@@ -117,6 +122,16 @@
 	writeJSON(w, http.StatusOK, serviceAnswer{Service: s.name, Path: r.URL.Path, Key: key, Runs: runs, Body: hex.EncodeToString(sum[:])})
 }
 
+func (s *Service) resetsBody() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.ResetDuring == 0 {
+		return false
+	}
+	s.faults.ResetDuring--
+	return true
+}
+
 type action int
 
 const (
--- a/test/ctl_test.go
+++ b/test/ctl_test.go
@@ -37,6 +37,12 @@
 	is.Equal(code, 0)
 	is.True(strings.Contains(out, "in force on all 3 nodes"))
 
+	for _, sample := range []string{"trust", "mwakyusa"} {
+		out, code = b.ctl("apply", "-f", "../samples/"+sample+".yaml", "--dry-run")
+		is.Equal(code, 0)
+		is.True(strings.Contains(out, "event/"))
+	}
+
 	edited, code := b.ctl("edit", "model", "one")
 	is.Equal(code, 0)
 	changed := file(strings.Replace(edited, "bytes: 5", "bytes: 7", 1))
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -171,7 +171,7 @@
 	t.Logf("capacity %.0f tokens/s; at about 0.9 of it: %.0f tokens/s, refused %d", capacity, full.TokensPS, full.Refused)
 	// Three callers of weight 3 for one of weight 1.
 	r := b.load(b.callerAddrs(), append([]string{"--rate", "171", "--duration", "60s", "--keys", rideKey + "," + clinicKey}, args...)...)
-	t.Logf("at 3 times capacity for 60 s: %.0f tokens/s (%.0f%% of capacity), refused %d of %d, refusal p99 %.1f ms, first token p95 %.0f ms", r.TokensPS, 100*r.TokensPS/capacity, r.Refused, r.Sent, r.RefusalP99, r.FirstP95)
+	t.Logf("at 3 times capacity for 60 s: %.0f tokens/s (%.0f%% of capacity), refused %d of %d %v, broken %d, refusal p99 %.1f ms, first token p95 %.0f ms", r.TokensPS, 100*r.TokensPS/capacity, r.Refused, r.Sent, r.RefusedByCode, r.Broken, r.RefusalP99, r.FirstP95)
 	all := r.ByKey[0].Tokens + r.ByKey[1].Tokens
 	t.Logf("shares by weight 3 to 1: %.1f%% and %.1f%%", 100*float64(r.ByKey[0].Tokens)/float64(all), 100*float64(r.ByKey[1].Tokens)/float64(all))
 	for _, n := range b.nodes {
--- a/test/once_test.go
+++ b/test/once_test.go
@@ -98,6 +98,7 @@
 		{"keeper killed", func(b *bench) { b.nodes[3].kill() }, nil, 0},
 		{"coordinator cut from its peers", func(b *bench) { b.nodes[0].peerLink.cut() }, func(b *bench) { b.nodes[0].peerLink.join(b.t) }, 300},
 		{"service resets before it runs", func(b *bench) { b.admin(b.services[0], "faults", standin.ServiceFaults{ResetBefore: 20, DelayMS: 30}) }, nil, 20},
+		{"service resets while the body arrives", func(b *bench) { b.admin(b.services[0], "faults", standin.ServiceFaults{ResetDuring: 20, DelayMS: 30}) }, nil, 20},
 		{"service resets after it ran", func(b *bench) { b.admin(b.services[0], "faults", standin.ServiceFaults{ResetAfter: 20, DelayMS: 30}) }, nil, 20},
 		{"service refuses for a while", func(b *bench) { b.admin(b.services[0], "faults", standin.ServiceFaults{Refuse: 20, DelayMS: 30}) }, nil, 0},
 		{"service server lost", func(b *bench) { b.svcLinks[0].cut() }, nil, 300},
--- a/test/surge_test.go
+++ b/test/surge_test.go
@@ -80,6 +80,32 @@
 	is.True(served > 0 && refused > 0)
 }
 
+// A service's own time limit ends a call, whatever the caller would wait.
+func TestServiceTimeLimit(t *testing.T) {
+	is := is.New(t)
+	slow := catalog.Resource{Kind: catalog.KindService, Name: "booking", Service: &catalog.Service{TimeoutMS: 200}}
+	b := newBench(t, options{nodes: 3, domains: 3, engines: 1, services: 1, modelServers: 1, extra: []catalog.Resource{slow}})
+	b.admin(b.services[0], "faults", standin.ServiceFaults{Hang: true})
+	r := b.nodes[0].send(booking("hung"))
+	is.Equal(r.outcome, "may-have-run")
+	is.True(r.took < 2*time.Second)
+}
+
+// When no engine gives a token, the request is given up and not held until
+// its deadline.
+func TestAllEnginesStalled(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, options{nodes: 3, domains: 3, engines: 3, modelServers: 1, entry: "routing: {stall: 300ms}"})
+	for _, e := range b.engines {
+		b.admin(e.addr, "faults", standin.EngineFaults{Hang: true})
+	}
+	r := b.nodes[0].send(chat("hello", 5, false).with("Crankridge-Deadline-Ms", "60000"))
+	is.Equal(r.outcome, "may-have-run")
+	is.True(r.retry != "")
+	is.True(strings.Contains(r.body, "upstream_stalled"))
+	is.True(r.took < 10*time.Second)
+}
+
 func TestCustomerLimitHoldsOverAllNodes(t *testing.T) {
 	is := is.New(t)
 	limited := catalog.Resource{Kind: catalog.KindCustomer, Name: "limited", Customer: &catalog.Customer{KeySHA256: catalog.HashKey("limited-key"), Weight: 1, RequestsPS: 20}}
