Count what other nodes do in proportion; keep reports fresh while requests wait

Starts and ends since a report now count for the other nodes in proportion to their requests in progress. Cause: at 3 times capacity some requests waited until their deadline (39 of 10,278 in 60 s, all at one node): reports ride on answers, and a node that got no place got no answers, saw old reports and went on seeing no place. While requests wait, reports older than 300 ms are asked for. Ruled out: starvation in the fair queue; its oldest entry goes every tenth time.

--- a/src/entry/node.go
+++ b/src/entry/node.go
@@ -255,7 +255,6 @@
 		}
 	}
 	n.registry.Replace(domains)
-	n.registry.SetOthers(len(n.fleet.Nodes()) - 1)
 	if it, ok := n.view.Get(claim.MapKey); ok {
 		n.applyMap(it)
 	}
@@ -294,7 +293,30 @@
 	}
 }
 
-func (n *Node) sweepLoop(ctx context.Context) { process.Every(ctx, sweepEvery, n.coord.Sweep) }
+func (n *Node) sweepLoop(ctx context.Context) {
+	process.Every(ctx, sweepEvery, func() {
+		n.coord.Sweep()
+		n.registry.SetOthers(n.others())
+	})
+}
+
+// others is what the other nodes have in progress, in multiples of this
+// node's. A node that follows part of the engines meets that part of them.
+func (n *Node) others() float64 {
+	load, nodes := 0, 0
+	for _, o := range n.fleet.Nodes() {
+		if o.Name != n.self.Name {
+			load += n.fleet.Load(o.Name)
+			nodes++
+		}
+	}
+	times := min(float64(load)/float64(max(n.coord.Open(), 1)), float64(nodes))
+	engines := len(n.registry.Names(upstream.KindEngine))
+	if size := n.set.Routing.Subset; size > 0 && size < engines {
+		times *= float64(size) / float64(engines)
+	}
+	return times
+}
 
 // noticeLoop asks the platform whether this VM is taken back.
 func (n *Node) noticeLoop(ctx context.Context) {
--- a/src/serve/lanes.go
+++ b/src/serve/lanes.go
@@ -95,6 +95,18 @@
 	return waiting
 }
 
+// waiting tells whether any request waits for an engine.
+func (l *lanes) waiting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, ln := range l.lanes {
+		if ln.queue.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *lanes) kick() {
 	select {
 	case l.wake <- struct{}{}:
--- a/src/serve/report.go
+++ b/src/serve/report.go
@@ -12,6 +12,9 @@
 	"github.com/crankridge/crankridge/src/upstream"
 )
 
+// waitingReport is how old a report may be while requests wait.
+const waitingReport = 300 * time.Millisecond
+
 func readResponse(after int64, tokens []string, answer *request.Answer) *peer.ReadResponse {
 	out := &peer.ReadResponse{Found: true}
 	more := len(tokens) > readBatch
@@ -39,15 +42,21 @@
 }
 
 // Poll asks each followed engine for its report unless one came on an answer
-// within the interval, until ctx ends.
+// within the interval, until ctx ends. While requests wait here the interval
+// is short: a node that gets no place gets no answers, and with old reports it
+// would go on seeing no place.
 func (c *Coordinator) Poll(ctx context.Context) {
 	for ctx.Err() == nil {
+		every := c.Set.Routing.Report
+		if c.lanes.waiting() {
+			every = min(every, waitingReport)
+		}
 		for _, name := range c.Registry.Names(upstream.KindEngine) {
-			if c.Registry.ReportDue(name, c.Set.Routing.Report) && c.follows(name) {
+			if c.Registry.ReportDue(name, every) && c.follows(name) {
 				go c.pollOne(ctx, name)
 			}
 		}
-		pause(ctx, request.Jitter(c.Set.Routing.Report))
+		pause(ctx, request.Jitter(min(c.Set.Routing.Report, waitingReport)))
 	}
 }
 
--- a/src/upstream/candidate.go
+++ b/src/upstream/candidate.go
@@ -87,7 +87,7 @@
 	return out
 }
 
-func (u *Upstream) candidate(now time.Time, blocks []uint64, others int) Candidate {
+func (u *Upstream) candidate(now time.Time, blocks []uint64, others float64) Candidate {
 	c := Candidate{
 		Name: u.Name, Addr: u.Addr, FailureDomain: u.FailureDomain, Region: u.Region, Own: u.inflight, MoveTPS: u.MoveTPS,
 		Slots: orDefault(float64(u.Slots), defaultSlots), StepMS: orDefault(u.step, defaultStepMS),
@@ -101,23 +101,25 @@
 	return c
 }
 
-// load is the report brought forward to now: what this node sent since counts
-// as it was sent, what other nodes sent is taken to be as much on average, and
-// prompts are worked off at the measured rate.
-func (u *Upstream) load(now time.Time, prefill float64, others int) (busy, queued float64) {
+// load is the report brought forward to now. What this node sent and what
+// ended since counts as it happened; what other nodes did is taken to be the
+// same in proportion, so that nodes which see the same free slots do not all
+// fill them. Prompts are worked off at the measured rate.
+func (u *Upstream) load(now time.Time, prefill float64, others float64) (busy, queued float64) {
 	u.sends = slices.DeleteFunc(u.sends, func(s send) bool {
 		reported := !s.ended.IsZero() && !s.ended.After(u.reportAt)
 		return reported && now.Sub(s.at) > rateWindow || now.Sub(s.at) > sendsKept
 	})
 	busy, queued = u.running+u.waiting, u.queued
+	change := 0.0
 	at, drain := u.reportAt, u.drain(now, prefill, others)
 	for _, s := range u.sends {
 		reported := !s.at.After(u.reportAt)
 		switch {
 		case reported && s.ended.After(u.reportAt):
-			busy--
+			change--
 		case !reported && s.ended.IsZero():
-			busy++
+			change++
 		}
 		if !reported {
 			queued = max(queued-s.at.Sub(at).Seconds()*drain, 0) + s.tokens
@@ -125,19 +127,20 @@
 		}
 	}
 	queued -= now.Sub(at).Seconds() * drain
+	busy += change * (1 + others)
 	return max(busy, float64(u.inflight)), max(queued, 0)
 }
 
 // drain is the rate at which the queue known here gets shorter: the prefill
 // rate, less what the other nodes send meanwhile.
-func (u *Upstream) drain(now time.Time, prefill float64, others int) float64 {
+func (u *Upstream) drain(now time.Time, prefill float64, others float64) float64 {
 	own := 0.0
 	for _, s := range u.sends {
 		if now.Sub(s.at) < rateWindow {
 			own += s.tokens
 		}
 	}
-	return max(prefill-own/rateWindow.Seconds()*float64(others), prefill*leastDrain)
+	return max(prefill-own/rateWindow.Seconds()*others, prefill*leastDrain)
 }
 
 // believed is how many leading blocks the upstream is believed to hold, and
--- a/src/upstream/registry.go
+++ b/src/upstream/registry.go
@@ -61,7 +61,7 @@
 	all    map[string]*Upstream
 	left   map[string]time.Time // deadlines heard of, by name
 	onLeft func(name string, deadline time.Time)
-	others int // nodes that send to the same upstreams
+	others float64 // what all other nodes send, in multiples of what this one does
 }
 
 // NewRegistry returns an empty registry. onLeft is called once for each
@@ -70,10 +70,11 @@
 	return &Registry{now: now, all: map[string]*Upstream{}, left: map[string]time.Time{}, onLeft: onLeft}
 }
 
-// SetOthers tells how many other nodes send to the same upstreams.
-func (r *Registry) SetOthers(n int) {
+// SetOthers tells how much all other nodes send to this node's upstreams, in
+// multiples of what this node sends.
+func (r *Registry) SetOthers(times float64) {
 	r.mu.Lock()
-	r.others = max(n, 0)
+	r.others = max(times, 0)
 	r.mu.Unlock()
 }
 
--- a/src/upstream/registry_test.go
+++ b/src/upstream/registry_test.go
@@ -81,6 +81,21 @@
 	is.True(r.Candidates("m", nil)[0].Busy < 10)
 }
 
+// What others do is taken to be in proportion, starts and ends alike.
+func TestLoadCountsOthersInProportion(t *testing.T) {
+	is := is.New(t)
+	r, c, _ := registry()
+	r.SetOthers(2)
+	end := r.Begin("a", 0, nil)
+	c.at = c.at.Add(time.Millisecond)
+	r.Report("a", c.at, 6, 0, 0, 10)
+	c.at = c.at.Add(100 * time.Millisecond)
+	end()
+	is.Equal(r.Candidates("m", nil)[0].Busy, 3.0) // one of its own ended, and two of others
+	r.Begin("a", 0, nil)
+	is.Equal(r.Candidates("m", nil)[0].Busy, 6.0) // the place is taken, by each
+}
+
 func TestCacheBeliefDecaysAndIsCorrected(t *testing.T) {
 	is := is.New(t)
 	r, c, _ := registry()
