Let a caller learn a request's fate at the node that did not know it

Cause: a node that had told 'may have run' because the coordinator was silent kept that answer for the key and repeated it for 15 minutes, though it invites the caller to ask again. An attempt that was never sent leaves no answer now; the next try asks the keepers anew. Before: TestFateIsLearntLater fails (not so within 30 s). After: it passes, the booking ran once. Safe, since the keepers hold who was granted, not the flight.

--- a/src/serve/coordinator.go
+++ b/src/serve/coordinator.go
@@ -173,8 +173,9 @@
 	if unsent && !f.Certain && answer.Code != codeKeyReused {
 		answer = uncertain(answer)
 	}
-	if unsent || a.Repeatable && answer.Outcome == request.MayHaveRun {
-		// The next try by this key begins anew.
+	unsure := answer.Outcome == request.MayHaveRun && (a.Repeatable || c.Attempts.Released(f.Attempt))
+	if unsent || unsure {
+		// The next try by this key begins anew: it may learn more.
 		c.forget(f)
 	}
 	if !f.Finish(answer) {
--- a/test/once_test.go
+++ b/test/once_test.go
@@ -142,6 +142,27 @@
 	is.Equal(b.runs()["reset"], 1)
 }
 
+// A caller told "may have run" while the coordinator is frozen learns the
+// answer by the same key, at the same node, once the coordinator is back.
+func TestFateIsLearntLater(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, options{nodes: 5, domains: 5, engines: 1, services: 1, modelServers: 1})
+	b.admin(b.services[0], "faults", standin.ServiceFaults{DelayMS: 400})
+	first := booking("fate")
+	first.limit = time.Second
+	done := make(chan struct{})
+	go func() { b.nodes[0].send(first); close(done) }()
+	b.eventually("the service runs it", func() bool { return b.runs()["fate"] == 1 })
+	b.nodes[0].signal(syscall.SIGSTOP)
+	<-done
+	r := b.nodes[1].send(booking("fate"))
+	is.Equal(r.outcome, "may-have-run")
+	is.True(r.retry != "")
+	b.nodes[0].signal(syscall.SIGCONT)
+	b.eventually("the same node gives the answer", func() bool { return b.nodes[1].send(booking("fate")).outcome == "completed" })
+	is.Equal(b.runs()["fate"], 1)
+}
+
 // An engine that refuses before it starts has not run the request: it goes to
 // another engine although it must not run twice.
 func TestRefusedByAnEngineIsNotRun(t *testing.T) {
