--- a/src/serve/stream.go
+++ b/src/serve/stream.go
@@ -57,11 +57,8 @@
 
 // resumable tells whether a broken stream is worth asking for again.
 func (r *run) resumable(name string) bool {
-	left, _ := r.c.Registry.Leaving(name)
-	select {
-	case <-left:
+	if r.wasLeaving(name) {
 		return false
-	default:
 	}
 	_, now := r.f.Given()
 	// Each resumption must bring something, or the engine is given up.
