--- /dev/null
+++ b/cmd/crank-gateway/main.go
@@ -0,0 +1,20 @@
+// Crank-gateway serves callers of operators' routes on the users' platform.
+package main
+
+import (
+	"context"
+
+	"github.com/crankridge/crankridge/platform"
+	"github.com/crankridge/crankridge/src/gateway"
+	"github.com/crankridge/crankridge/src/process"
+)
+
+const description = "Crank-gateway serves callers of operators' routes on the users' platform."
+
+func main() {
+	process.Main("crank-gateway", description, platform.Load, run)
+}
+
+func run(ctx context.Context, set gateway.Settings) error {
+	return gateway.New(set, platform.New(set)).Run(ctx)
+}
--- /dev/null
+++ b/src/admit/shared.go
@@ -0,0 +1,146 @@
+package admit
+
+import (
+	"sync"
+	"time"
+)
+
+// Times of shared limits.
+const (
+	silentAfter = 700 * time.Millisecond // a node not heard for longer is charged for by its even share
+	refillMost  = 2 * time.Second        // most that counts as having passed between two looks
+)
+
+// SharedLimiter holds each customer to one limit over all nodes. Every node
+// keeps the same bucket: it takes out what it admits itself and what the
+// others tell that they admitted. A node that is silent is charged an even
+// share of the rate, so that a node cut off from all others uses no more.
+type SharedLimiter struct {
+	mu      sync.Mutex
+	began   time.Time
+	buckets map[string]*sharedBucket
+	admit   map[string]float64 // own running sums by customer
+	peers   map[string]*peerTotals
+	nodes   int
+}
+
+type sharedBucket struct {
+	level float64
+	at    time.Time
+}
+
+// peerTotals is what one node told of its running sums.
+type peerTotals struct {
+	incarnation int64
+	totals      map[string]float64
+	heard       time.Time
+	assumed     map[string]float64 // charged while it was silent
+}
+
+// NewSharedLimiter returns a limiter whose buckets are empty: what was
+// admitted before it began is not known.
+func NewSharedLimiter(now time.Time) *SharedLimiter {
+	return &SharedLimiter{began: now, buckets: map[string]*sharedBucket{}, admit: map[string]float64{}, peers: map[string]*peerTotals{}, nodes: 1}
+}
+
+// SetNodes tells among how many nodes a rate is shared, this one included,
+// and which of the others still count.
+func (l *SharedLimiter) SetNodes(others []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nodes = len(others) + 1
+	keep := make(map[string]bool, len(others))
+	for _, name := range others {
+		keep[name] = true
+	}
+	for name := range l.peers {
+		if !keep[name] {
+			delete(l.peers, name)
+		}
+	}
+}
+
+// Heard takes in a node's running sums.
+func (l *SharedLimiter) Heard(node string, incarnation int64, totals map[string]float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	peer := l.peers[node]
+	if peer == nil {
+		// What it admitted before this node knew of it is not this bucket's to pay.
+		l.peers[node] = &peerTotals{incarnation: incarnation, totals: totals, heard: now, assumed: map[string]float64{}}
+		return
+	}
+	if incarnation < peer.incarnation {
+		return
+	}
+	before := peer.totals
+	if incarnation > peer.incarnation {
+		before = nil
+	}
+	for customer, total := range totals {
+		bucket := l.buckets[customer]
+		if bucket == nil {
+			continue
+		}
+		bucket.level -= total - before[customer] - peer.assumed[customer]
+	}
+	peer.incarnation, peer.totals, peer.heard = incarnation, totals, now
+	clear(peer.assumed)
+}
+
+// Totals returns the own running sums.
+func (l *SharedLimiter) Totals() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]float64, len(l.admit))
+	for customer, total := range l.admit {
+		out[customer] = total
+	}
+	return out
+}
+
+// Take admits a request of the given cost under a customer's rate (a second)
+// and burst. When it is refused, wait tells when there will be room.
+func (l *SharedLimiter) Take(customer string, cost, rate, burst float64, now time.Time) (ok bool, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	bucket := l.refill(customer, rate, burst, now)
+	// A request larger than the whole burst passes when the bucket is full.
+	need := min(cost, burst)
+	if bucket.level < need {
+		return false, time.Duration((need - bucket.level) / rate * float64(time.Second))
+	}
+	bucket.level -= cost
+	l.admit[customer] += cost
+	return true, 0
+}
+
+// Refund gives back the cost of a request that did not run.
+func (l *SharedLimiter) Refund(customer string, cost float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if bucket := l.buckets[customer]; bucket != nil {
+		bucket.level += cost
+		l.admit[customer] -= cost
+	}
+}
+
+func (l *SharedLimiter) refill(customer string, rate, burst float64, now time.Time) *sharedBucket {
+	bucket := l.buckets[customer]
+	if bucket == nil {
+		bucket = &sharedBucket{at: l.began}
+		l.buckets[customer] = bucket
+	}
+	passed := max(min(now.Sub(bucket.at), refillMost), 0).Seconds()
+	bucket.at = now
+	bucket.level += rate * passed
+	even := rate / float64(l.nodes) * passed
+	for _, peer := range l.peers {
+		if now.Sub(peer.heard) > silentAfter {
+			peer.assumed[customer] += even
+			bucket.level -= even
+		}
+	}
+	bucket.level = min(bucket.level, burst)
+	return bucket
+}
--- a/src/catalog/resource.go
+++ b/src/catalog/resource.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/view"
 )
 
@@ -127,7 +127,7 @@
 }
 
 // Decode reads the stored form.
-func Decode(it platform.Item) (Resource, error) {
+func Decode(it ports.Item) (Resource, error) {
 	var r Resource
 	if err := json.Unmarshal(it.Value, &r); err != nil {
 		return r, err
--- a/src/catalog/snapshot.go
+++ b/src/catalog/snapshot.go
@@ -6,7 +6,7 @@
 	"encoding/hex"
 	"time"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 // Snapshot is what is in force at one moment; it is not changed once built.
@@ -21,7 +21,7 @@
 
 // NewSnapshot reads the resources among items. One that cannot be decoded is
 // left out and named in broken.
-func NewSnapshot(items []platform.Item) (s *Snapshot, broken []string) {
+func NewSnapshot(items []ports.Item) (s *Snapshot, broken []string) {
 	s = &Snapshot{
 		Events: map[string]Resource{}, Models: map[string]Resource{}, Adapters: map[string]Resource{},
 		Services: map[string]Resource{}, Customers: map[string]Resource{}, byKeyHash: map[string]string{},
--- /dev/null
+++ b/src/cluster/members.go
@@ -0,0 +1,175 @@
+// Package cluster spreads what each gateway node tells of itself, and changes
+// of the store, between the nodes: by direct exchange, and passed on by others
+// for nodes that do not reach each other. It steers work and divides limits;
+// it never decides who holds a duty.
+package cluster
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Times of the exchange.
+const (
+	aliveFor   = 2 * time.Second  // a node silent for longer is not given to clients
+	countedFor = 10 * time.Second // a node silent for longer has no share of limits
+	forgetFor  = 60 * time.Second // a node silent for longer is forgotten
+	clockFor   = 20 * time.Second // a clock not compared for longer has no voice
+)
+
+// Member is what is known of one node.
+type Member struct {
+	Record *Record
+	Heard  time.Time // when its record last moved on
+}
+
+// Members is the known nodes, this one included.
+type Members struct {
+	mu      sync.Mutex
+	self    string
+	members map[string]Member
+	clocks  map[string]clock
+	now     func() time.Time
+}
+
+// clock is how far a node's time of day is from this process's steady clock.
+type clock struct {
+	offset time.Duration
+	at     time.Time
+}
+
+// NewMembers returns the members as known to the node self, none yet.
+func NewMembers(self string, now func() time.Time) *Members {
+	return &Members{self: self, members: map[string]Member{}, clocks: map[string]clock{}, now: now}
+}
+
+func newer(a, b *Record) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence
+}
+
+// Take keeps the record if it is newer than what is known of its node.
+func (m *Members) Take(r *Record) bool {
+	if r == nil || r.Node == "" {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old, ok := m.members[r.Node]
+	if ok && !newer(r, old.Record) {
+		return false
+	}
+	m.members[r.Node] = Member{r, m.now()}
+	return true
+}
+
+// Known lists the newest records by their sequence.
+func (m *Members) Known() []*Known {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]*Known, 0, len(m.members))
+	for name, member := range m.members {
+		out = append(out, &Known{Node: name, Incarnation: member.Record.Incarnation, Sequence: member.Record.Sequence})
+	}
+	return out
+}
+
+// Lacking returns up to most records that are newer than those known to a peer.
+func (m *Members) Lacking(known []*Known, peer string, most int) []*Record {
+	have := make(map[string]*Known, len(known))
+	for _, k := range known {
+		have[k.Node] = k
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*Record
+	for name, member := range m.members {
+		if name == m.self || name == peer || len(out) >= most {
+			continue
+		}
+		k := have[name]
+		if k == nil || newer(member.Record, &Record{Incarnation: k.Incarnation, Sequence: k.Sequence + relayLag}) {
+			out = append(out, member.Record)
+		}
+	}
+	return out
+}
+
+// relayLag is how far behind a peer must be before a record is passed on to
+// it: nodes that reach each other need no relay.
+const relayLag = 2
+
+// Others returns the other nodes heard within the time, sorted by name.
+func (m *Members) Others(within time.Duration) []*Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	var out []*Record
+	for name, member := range m.members {
+		age := now.Sub(member.Heard)
+		if age > forgetFor {
+			delete(m.members, name)
+			continue
+		}
+		if name != m.self && age <= within {
+			out = append(out, member.Record)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Record) int {
+		if a.Node < b.Node {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Alive returns the other nodes that clients may be sent to.
+func (m *Members) Alive() []*Record {
+	return slices.DeleteFunc(m.Others(aliveFor), func(r *Record) bool { return r.Leaving || !r.Ready })
+}
+
+// Count is the number of nodes among which limits are divided, this one included.
+func (m *Members) Count() int { return len(m.Others(countedFor)) + 1 }
+
+// All returns every known member, this node's own record included.
+func (m *Members) All() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Member, 0, len(m.members))
+	for _, member := range m.members {
+		out = append(out, member)
+	}
+	return out
+}
+
+// Compare takes in a peer's time of day, read about when at was.
+func (m *Members) Compare(node string, wall time.Time, at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// Round drops the monotonic reading, so that a step of the own clock shows.
+	m.clocks[node] = clock{offset: wall.Sub(m.steady(at)), at: at}
+}
+
+// steady maps a moment to a time line that no step of the clock moves.
+func (m *Members) steady(at time.Time) time.Time { return started.Add(at.Sub(started)).Round(0) }
+
+var started = time.Now()
+
+// Agreed is the time of day on which most nodes agree, for a moment read from
+// this process's clock.
+func (m *Members) Agreed(at time.Time) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	offsets := []time.Duration{time.Now().Round(0).Sub(m.steady(time.Now()))}
+	for node, c := range m.clocks {
+		if node != m.self && at.Sub(c.at) < clockFor {
+			offsets = append(offsets, c.offset)
+		}
+	}
+	slices.Sort(offsets)
+	return m.steady(at).Add(offsets[len(offsets)/2])
+}
--- a/src/control/control.go
+++ b/src/control/control.go
@@ -19,7 +19,7 @@
 	"github.com/crankridge/crankridge/src/operator"
 	"github.com/crankridge/crankridge/src/peer"
 	"github.com/crankridge/crankridge/src/plan"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/settings"
 	"github.com/crankridge/crankridge/src/telemetry"
 	"github.com/crankridge/crankridge/src/view"
@@ -36,7 +36,7 @@
 // Process is one crank-control.
 type Process struct {
 	set       settings.Control
-	kv        *platform.KV
+	kv        *ports.KV
 	kvTraffic telemetry.Traffic
 	view      *view.View
 	fleet     *member.Fleet
@@ -61,10 +61,10 @@
 		pool: peer.NewPool(set.Secrets.Peer), journal: telemetry.NewJournal(journalKept),
 		engines: engine.NewClient(time.Second, engineTimeout), started: time.Now(),
 	}
-	p.kv = platform.NewKV(set.KV.URL, set.KV.Timeout, p.kvTraffic.Dial(set.KV.Timeout))
+	p.kv = ports.NewKV(set.KV.URL, set.KV.Timeout, p.kvTraffic.Dial(set.KV.Timeout))
 	p.lead = &lead{kv: p.kv, view: p.view, name: set.Node.Name, ttl: set.Planner.Lease}
 	p.planner = &planner{
-		set: set, kv: p.kv, cloud: platform.NewCloud(set.Cloud.URL, set.Cloud.Timeout), engines: p.engines, view: p.view, lead: p.lead,
+		set: set, kv: p.kv, cloud: ports.NewCloud(set.Cloud.URL, set.Cloud.Timeout), engines: p.engines, view: p.view, lead: p.lead,
 		metrics: metrics, journal: p.journal, refused: map[plan.OfferKey]time.Time{}, states: map[string]seenState{},
 	}
 	return p, nil
@@ -79,7 +79,7 @@
 	srv := &http.Server{Handler: p.handler(), ReadHeaderTimeout: stopGrace}
 	go func() { _ = srv.Serve(ln) }()
 	klog.InfoS("started", "node", p.set.Node.Name, "operators", p.set.Listen.Operators, "planner", !p.set.Planner.Disabled)
-	loops := []func(context.Context){func(ctx context.Context) { p.view.Follow(ctx, p.kv) }, p.applyLoop}
+	loops := []func(context.Context){func(ctx context.Context) { p.view.Follow(ctx, p.kv, view.Prefix) }, p.applyLoop}
 	if !p.set.Planner.Disabled {
 		loops = append(loops, p.lead.run, p.planner.run)
 	}
--- a/src/control/lead.go
+++ b/src/control/lead.go
@@ -9,7 +9,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/view"
 )
 
@@ -26,7 +26,7 @@
 // lead is the planner's lease. Its epoch is the revision at which the key was
 // taken, which only grows; it fences every order.
 type lead struct {
-	kv    *platform.KV
+	kv    *ports.KV
 	view  *view.View
 	name  string
 	ttl   time.Duration
@@ -68,7 +68,7 @@
 	l.mu.Unlock()
 	if lease != 0 {
 		err := l.kv.KeepAlive(ctx, lease)
-		if errors.Is(err, platform.ErrLeaseGone) {
+		if errors.Is(err, ports.ErrLeaseGone) {
 			l.forget()
 			return err
 		}
--- a/src/control/planner.go
+++ b/src/control/planner.go
@@ -15,7 +15,7 @@
 	"github.com/crankridge/crankridge/src/catalog"
 	"github.com/crankridge/crankridge/src/engine"
 	"github.com/crankridge/crankridge/src/plan"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/process"
 	"github.com/crankridge/crankridge/src/settings"
 	"github.com/crankridge/crankridge/src/telemetry"
@@ -31,8 +31,8 @@
 // planner carries out plans while its process holds the lease.
 type planner struct {
 	set     settings.Control
-	kv      *platform.KV
-	cloud   *platform.Cloud
+	kv      *ports.KV
+	cloud   *ports.Cloud
 	engines *engine.Client
 	view    *view.View
 	lead    *lead
@@ -41,7 +41,7 @@
 
 	refused map[plan.OfferKey]time.Time
 	states  map[string]seenState
-	offers  []platform.Offer
+	offers  []ports.Offer
 	asked   time.Time
 	rounds  int64
 	last    plan.Result
@@ -143,11 +143,11 @@
 
 // readEngines asks those engines whose state may have changed: new ones, ones
 // that load something, ones that failed, and all others now and then.
-func (p *planner) readEngines(ctx context.Context, vms []platform.VM) {
-	var due []platform.VM
+func (p *planner) readEngines(ctx context.Context, vms []ports.VM) {
+	var due []ports.VM
 	living := map[string]bool{}
 	for _, vm := range vms {
-		if vm.Role != "engine" || vm.Address == "" || vm.State == platform.VMTerminated {
+		if vm.Role != "engine" || vm.Address == "" || vm.State == ports.VMTerminated {
 			continue
 		}
 		living[vm.Name] = true
@@ -186,7 +186,7 @@
 	return out
 }
 
-func (p *planner) storeIntents(ctx context.Context, epoch int64, stored platform.Item, old, next []plan.Intent) error {
+func (p *planner) storeIntents(ctx context.Context, epoch int64, stored ports.Item, old, next []plan.Intent) error {
 	if slices.Equal(old, next) {
 		return nil
 	}
@@ -232,7 +232,7 @@
 	}
 	_, err := p.cloud.Buy(ctx, i.Name, i.Offer)
 	p.note(i.Name, "buy", err)
-	if !errors.Is(err, platform.ErrRefused) {
+	if !errors.Is(err, ports.ErrRefused) {
 		return nil
 	}
 	p.refused[plan.KeyOf(i.Offer)] = time.Now()
--- a/src/control/publish.go
+++ b/src/control/publish.go
@@ -14,13 +14,13 @@
 	"github.com/crankridge/crankridge/src/event"
 	"github.com/crankridge/crankridge/src/member"
 	"github.com/crankridge/crankridge/src/plan"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/upstream"
 )
 
 // publish stores the upstream list of each failure domain that changed, and
 // the list of entry VMs that run no more.
-func (p *planner) publish(ctx context.Context, epoch int64, vms []platform.VM, intents []plan.Intent) error {
+func (p *planner) publish(ctx context.Context, epoch int64, vms []ports.VM, intents []plan.Intent) error {
 	released := map[string]int64{}
 	for _, i := range intents {
 		if i.ReleaseMS > 0 {
@@ -33,7 +33,7 @@
 	}
 	gone := []string{}
 	for _, vm := range vms {
-		if vm.Role == "entry" && vm.State == platform.VMTerminated {
+		if vm.Role == "entry" && vm.State == ports.VMTerminated {
 			gone = append(gone, vm.ID)
 		}
 		if pub, ok := p.published(vm, released[vm.Name]); ok {
@@ -55,11 +55,11 @@
 	return p.storeIfNew(ctx, epoch, member.GoneKey, raw)
 }
 
-func (p *planner) published(vm platform.VM, released int64) (upstream.Published, bool) {
+func (p *planner) published(vm ports.VM, released int64) (upstream.Published, bool) {
 	pub := upstream.Published{
 		Name: vm.Name, VM: vm.ID, Addr: vm.Address, FailureDomain: vm.FailureDomain, Region: vm.Region, LeavingMS: max(vm.DeadlineMS, released),
 	}
-	if vm.Address == "" || vm.State != platform.VMRunning && vm.State != platform.VMLeaving {
+	if vm.Address == "" || vm.State != ports.VMRunning && vm.State != ports.VMLeaving {
 		return pub, false
 	}
 	switch vm.Role {
@@ -82,7 +82,7 @@
 	return pub, false
 }
 
-func (p *planner) lastPublished(vm platform.VM, now upstream.Published) (upstream.Published, bool) {
+func (p *planner) lastPublished(vm ports.VM, now upstream.Published) (upstream.Published, bool) {
 	it, ok := p.view.Get(upstream.Prefix + vm.FailureDomain)
 	if !ok {
 		return now, false
@@ -118,7 +118,7 @@
 func (p *planner) tellEvents(ctx context.Context, epoch int64, in plan.Input, res plan.Result) error {
 	services := map[string]int{}
 	for _, vm := range in.VMs {
-		if vm.Role == "service" && vm.State == platform.VMRunning {
+		if vm.Role == "service" && vm.State == ports.VMRunning {
 			services[vm.Service]++
 		}
 	}
--- a/src/entry/exchange.go
+++ b/src/entry/exchange.go
@@ -8,7 +8,7 @@
 	"github.com/crankridge/crankridge/src/admit"
 	"github.com/crankridge/crankridge/src/member"
 	"github.com/crankridge/crankridge/src/peer"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/request"
 	"github.com/crankridge/crankridge/src/view"
 )
@@ -90,10 +90,10 @@
 	return out, nil
 }
 
-func itemsOf(items []*peer.Item) []platform.Item {
-	var out []platform.Item
+func itemsOf(items []*peer.Item) []ports.Item {
+	var out []ports.Item
 	for _, it := range items {
-		out = append(out, platform.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
+		out = append(out, ports.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
 	}
 	return out
 }
--- a/src/entry/node.go
+++ b/src/entry/node.go
@@ -17,7 +17,7 @@
 	"github.com/crankridge/crankridge/src/engine"
 	"github.com/crankridge/crankridge/src/member"
 	"github.com/crankridge/crankridge/src/peer"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/process"
 	"github.com/crankridge/crankridge/src/serve"
 	"github.com/crankridge/crankridge/src/settings"
@@ -38,8 +38,8 @@
 type Node struct {
 	set       settings.Entry
 	self      member.Node
-	kv        *platform.KV
-	cloud     *platform.Cloud
+	kv        *ports.KV
+	cloud     *ports.Cloud
 	kvTraffic telemetry.Traffic
 	peerIn    telemetry.Traffic
 	view      *view.View
@@ -73,9 +73,9 @@
 		Name: set.Node.Name, Incarnation: uuid.NewString()[:8], VM: set.Node.VM, FailureDomain: set.Node.FailureDomain, Region: set.Node.Region,
 		Callers: set.Advertise.Callers, Peers: set.Advertise.Peers, Operators: set.Advertise.Operators,
 	}
-	n.kv = platform.NewKV(set.KV.URL, set.KV.Timeout, n.kvTraffic.Dial(set.KV.Timeout))
+	n.kv = ports.NewKV(set.KV.URL, set.KV.Timeout, n.kvTraffic.Dial(set.KV.Timeout))
 	if set.Cloud.URL != "" {
-		n.cloud = platform.NewCloud(set.Cloud.URL, set.Cloud.Timeout)
+		n.cloud = ports.NewCloud(set.Cloud.URL, set.Cloud.Timeout)
 	}
 	n.fleet = member.NewFleet(set.Node.Name, time.Now)
 	n.registrar = member.NewRegistrar(n.kv, n.self, set.Exchange.Lease)
@@ -116,7 +116,7 @@
 	removed := make(chan struct{})
 	go func() { n.registrar.Run(registered); close(removed) }()
 	for _, loop := range []func(context.Context){
-		func(ctx context.Context) { n.view.Follow(ctx, n.kv) },
+		func(ctx context.Context) { n.view.Follow(ctx, n.kv, view.Prefix) },
 		n.applyLoop, n.exchangeLoop, n.notifyLoop, n.mapLoop, n.gatherLoop, n.coord.Poll, n.sweepLoop, n.noticeLoop,
 	} {
 		go loop(life)
@@ -260,7 +260,7 @@
 	}
 }
 
-func (n *Node) applyMap(it platform.Item) {
+func (n *Node) applyMap(it ports.Item) {
 	m, err := claim.DecodeMap(it.Value)
 	if err != nil {
 		klog.ErrorS(err, "broken_shard_map")
--- /dev/null
+++ b/src/gateway/forward.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/crankridge/crankridge/src/request"
+)
+
+// Bounds of trying again.
+const (
+	sendsMost     = 4 // servers that one attempt of a client is offered to
+	refusedWait   = 150 * time.Millisecond
+	noServerWait  = 300 * time.Millisecond
+	unknownStatus = http.StatusBadGateway
+)
+
+// flight is one attempt of a client on its way.
+type flight struct {
+	n       *Node
+	a       *ask
+	reply   *reply
+	avoid   map[string]bool
+	sends   int  // that reached a server or tried to
+	runs    int  // that ran or may have run
+	counted bool // in the usage
+	unread  int64
+	last    *http.Response // a server's own failure, kept in case no better answer comes
+	lastRaw []byte
+}
+
+// forward carries an attempt to its end: choose, send, relay, and again
+// elsewhere where that is allowed. It returns the refusal to answer with, or
+// nil when the answer has gone out.
+func (n *Node) forward(w http.ResponseWriter, a *ask) *refusal {
+	ctx, cancel := context.WithDeadline(a.request.Context(), a.deadline)
+	defer cancel()
+	f := &flight{n: n, a: a, reply: &reply{writer: w}, avoid: map[string]bool{}}
+	n.budget.Earn(a.service, a.arrived)
+	for {
+		s, ok := n.choose(a, f.avoid)
+		if !ok {
+			return f.end(ctx, codeNoServer, noServerWait)
+		}
+		if f.sends > 0 && !n.budget.Spend(a.service, n.members.Count(), time.Now()) {
+			return f.end(ctx, codeRefused, refusedWait)
+		}
+		done, err := f.try(ctx, s)
+		if done {
+			f.log("answered", s.ID, err)
+			return nil
+		}
+		f.log("failed", s.ID, err)
+		if ctx.Err() != nil {
+			return f.end(ctx, codeTimeout, 0)
+		}
+		if !f.mayTryAgain() {
+			return f.end(ctx, codeRefused, refusedWait)
+		}
+		f.avoid[s.ID] = true
+	}
+}
+
+// mayTryAgain tells whether the attempt may go to another server.
+func (f *flight) mayTryAgain() bool {
+	switch {
+	case f.sends >= sendsMost:
+		return false
+	case f.runs == 0:
+		return true
+	case f.reply.headSent && (!f.a.route.Resumable || f.reply.lastEvent == ""):
+		return false
+	}
+	return f.a.route.MayRepeat() && f.runs < f.a.route.MaxAttempts
+}
+
+// try sends to one server and relays its answer; done says that the client
+// has its whole answer.
+func (f *flight) try(ctx context.Context, s *server) (done bool, err error) {
+	n, a := f.n, f.a
+	f.sends++
+	f.unread = a.tokensIn
+	n.fleet.begin(s, f.unread)
+	defer n.fleet.end(s)
+	defer f.firstEvent(s)
+	lastEvent := f.reply.lastEvent
+	sent := n.send(ctx, a, s, lastEvent)
+	defer sent.cancel()
+	switch sent.fate {
+	case notSent:
+		if ctx.Err() == nil {
+			n.fleet.failed(s, true)
+		}
+		return false, sent.err
+	case refused:
+		if sent.answer.StatusCode == http.StatusMisdirectedRequest {
+			n.serverLeft(s.ID)
+		}
+		return false, errRefused
+	case unknown:
+		f.runs++
+		f.ran()
+		if ctx.Err() == nil {
+			n.fleet.failed(s, false)
+		}
+		return false, sent.err
+	}
+	f.runs++
+	defer func() { _ = sent.answer.Body.Close() }()
+	if isEventStream(sent.answer) {
+		err = f.reply.stream(sent.answer, n.stopping(), func() { f.firstEvent(s); f.ran() })
+	} else {
+		f.ran()
+		done, err = f.plain(sent.answer, s)
+		if !done && err == nil {
+			return false, errServerFailed
+		}
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			n.fleet.failed(s, false)
+		}
+		return false, err
+	}
+	n.fleet.succeeded(s)
+	return true, nil
+}
+
+var (
+	errRefused      = errors.New("server refused")
+	errServerFailed = errors.New("server answered with a failure")
+)
+
+// plain relays an answer that is no stream. A failure of the server is kept
+// back while another server may still do better.
+func (f *flight) plain(answer *http.Response, s *server) (done bool, err error) {
+	if f.reply.headSent {
+		return false, errWrongAnswer // a stream cannot go on with an answer of another form
+	}
+	if answer.StatusCode >= http.StatusInternalServerError && f.mayTryAgain() {
+		raw, err := io.ReadAll(io.LimitReader(answer.Body, bufferedMost))
+		if err != nil {
+			return false, err
+		}
+		f.n.fleet.failed(s, false)
+		f.last, f.lastRaw = answer, raw
+		return false, nil
+	}
+	err = f.reply.whole(answer, f.n.stopping())
+	return err == nil, err
+}
+
+// firstEvent takes the prompt off what the server has still to read, once.
+func (f *flight) firstEvent(s *server) {
+	if f.unread != 0 {
+		f.n.fleet.read(s, f.unread)
+		f.unread = 0
+	}
+}
+
+// ran counts the attempt as run for its customer, once.
+func (f *flight) ran() {
+	if !f.counted && f.a.customer != nil {
+		f.counted = true
+		f.n.usage.count(f.a.customer.Name)
+	}
+}
+
+// end gives the attempt up: what is left to say depends on what has gone out
+// and on what may have run.
+func (f *flight) end(ctx context.Context, code string, wait time.Duration) *refusal {
+	a := f.a
+	if f.runs == 0 && a.customer != nil {
+		f.n.quota.Refund(a.customer.Name, a.cost())
+	}
+	if a.request.Context().Err() != nil || f.reply.headSent {
+		f.log("broken_off", "", ctx.Err())
+		// The client sees that the answer did not end.
+		panic(http.ErrAbortHandler)
+	}
+	if f.last != nil {
+		f.last.Body = io.NopCloser(newReader(f.lastRaw))
+		if f.reply.whole(f.last, f.n.stopping()) == nil {
+			return nil
+		}
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case ctx.Err() != nil:
+		return &refusal{status: http.StatusGatewayTimeout, code: codeTimeout}
+	case f.runs > 0:
+		return &refusal{status: unknownStatus, code: codeUnknown}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, code: code, wait: request.Jitter(wait)}
+}
+
+func (f *flight) log(what, server string, err error) {
+	if err == nil && f.sends == 1 && !klog.V(1).Enabled() {
+		return
+	}
+	klog.InfoS("request", "id", f.a.id, "what", what, "server", server, "route", f.a.route.Name, "kind", f.a.route.Kind,
+		"sends", f.sends, "runs", f.runs, "events", f.reply.events, "after_ms", time.Since(f.a.arrived).Milliseconds(), "err", err)
+}
--- /dev/null
+++ b/src/gateway/node.go
@@ -0,0 +1,297 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/samber/oops"
+	"k8s.io/klog/v2"
+
+	"github.com/crankridge/crankridge/src/admit"
+	"github.com/crankridge/crankridge/src/cluster"
+	"github.com/crankridge/crankridge/src/duty"
+	"github.com/crankridge/crankridge/src/process"
+	"github.com/crankridge/crankridge/src/request"
+	"github.com/crankridge/crankridge/src/traffic"
+	"github.com/crankridge/crankridge/src/view"
+)
+
+// Keys of the store that belong to the gateway.
+const (
+	ownPrefix   = "crankridge/"
+	nodePrefix  = ownPrefix + "nodes/"
+	leaseKey    = ownPrefix + "duty"
+	usagePrefix = ownPrefix + "usage/"
+)
+
+// Times of a node.
+const (
+	stepEvery      = 250 * time.Millisecond
+	backstopEvery  = 3 * time.Second
+	refuseAfter    = 3 * time.Second // from the signal to stop; new requests are refused then
+	stopMargin     = 400 * time.Millisecond
+	idleConnection = 2 * time.Minute
+	headerTimeout  = 30 * time.Second
+	headerMost     = 64 << 10
+	addressesMost  = 64
+)
+
+// Node is one gateway process.
+type Node struct {
+	set      Settings
+	platform Platform
+	store    Store
+	headers  traffic.Headers
+
+	view    *view.View
+	table   atomic.Pointer[traffic.Table]
+	fleet   *fleet
+	members *cluster.Members
+	peers   *cluster.Node
+	quota   *admit.SharedLimiter
+	budget  *request.WindowBudget
+	usage   *usageCounter
+	ledger  *duty.Ledger
+	lease   *duty.Lease
+	report  *duty.Usage
+
+	began    time.Time
+	sequence atomic.Int64
+	open     atomic.Int64
+	stopAt   atomic.Int64 // Unix nanoseconds of the signal to stop; 0 before it
+	configIn int64        // version in force
+	rngMu    sync.Mutex
+	rng      *rand.Rand
+	servers  []*http.Server
+}
+
+// New assembles a node.
+func New(set Settings, p Platform) *Node {
+	now := time.Now()
+	n := &Node{
+		set: set, platform: p, store: p.Store(), headers: p.Headers(), view: view.New(), fleet: newFleet(time.Now),
+		members: cluster.NewMembers(set.Node, time.Now), quota: admit.NewSharedLimiter(now),
+		budget: request.NewWindowBudget(set.Retries.Ratio, set.Retries.Extra, set.Retries.Window),
+		ledger: duty.NewLedger(), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
+	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds}
+	n.peers.Start()
+	n.lease = duty.NewLease(n.store, leaseKey, set.Node, set.Duties.Lease, time.Now)
+	n.report = &duty.Usage{
+		Ledger: n.ledger, Lease: n.lease, Store: n.store, Sender: p, Prefix: usagePrefix,
+		Window: set.Duties.UsageWindow, Late: set.Duties.UsageLate, Clock: n.agreed,
+	}
+	return n
+}
+
+func (n *Node) agreed() time.Time { return n.members.Agreed(time.Now()) }
+
+func (n *Node) stopping() bool { return n.stopAt.Load() != 0 }
+
+// Run serves until ctx ends, then stops in order.
+func (n *Node) Run(ctx context.Context) error {
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	if err := n.listen(); err != nil {
+		return err
+	}
+	klog.InfoS("started", "node", n.set.Node, "callers", n.set.Listen.Callers)
+	go n.view.Follow(work, n.store, "")
+	go n.peers.Run(work)
+	go n.applyLoop(work)
+	go process.Every(work, stepEvery, n.spread)
+	go n.backstopLoop(work)
+	go n.registerLoop(work)
+	if n.set.Duties.Usage || n.set.Duties.Scale {
+		go n.dutyLoop(work)
+	}
+	<-ctx.Done()
+	n.stop()
+	return nil
+}
+
+// listen opens every address of the settings.
+func (n *Node) listen() error {
+	callers := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	callers.PathPrefix("/").HandlerFunc(n.serve)
+	handlers := map[string]*mux.Router{n.set.Listen.Callers: callers}
+	on := func(address string) *mux.Router {
+		if handlers[address] == nil {
+			handlers[address] = mux.NewRouter()
+		}
+		return handlers[address]
+	}
+	on(n.set.Listen.Peers).PathPrefix(cluster.ClusterPathPrefix).Handler(n.peers.Handler())
+	on(n.set.Listen.Peers).HandleFunc("/debug/state", n.dump)
+	if n.set.Listen.Ready != "" {
+		on(n.set.Listen.Ready).HandleFunc(n.platform.ReadinessPath(), n.readiness)
+	}
+	if n.set.Listen.Directory != "" {
+		on(n.set.Listen.Directory).HandleFunc(n.platform.ResolvePath(), n.resolve)
+	}
+	for address, handler := range handlers {
+		if err := n.listenOn(address, handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) listenOn(address string, handler http.Handler) error {
+	listener, err := listenTCP(address)
+	if err != nil {
+		return oops.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleConnection, MaxHeaderBytes: headerMost, ErrorLog: quietLog()}
+	n.servers = append(n.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "listener_lost", "address", address)
+		}
+	}()
+	return nil
+}
+
+// serve answers one request of a client.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	n.open.Add(1)
+	defer n.open.Add(-1)
+	if refused := n.handle(w, r, arrived); refused != nil {
+		n.refuse(w, r, refused)
+	}
+}
+
+func (n *Node) handle(w http.ResponseWriter, r *http.Request, arrived time.Time) *refusal {
+	if stop := n.stopAt.Load(); stop != 0 && arrived.UnixNano()-stop > int64(refuseAfter) {
+		return &refusal{status: http.StatusServiceUnavailable, code: codeStopping, wait: 50 * time.Millisecond, close: true}
+	}
+	a, refused := n.check(w, r, arrived)
+	if refused != nil {
+		return refused
+	}
+	if c := a.customer; c != nil && c.Rate > 0 {
+		if ok, wait := n.quota.Take(c.Name, a.cost(), c.Rate, c.Burst, time.Now()); !ok {
+			return &refusal{status: http.StatusTooManyRequests, code: codeQuota, wait: wait}
+		}
+	}
+	return n.forward(w, a)
+}
+
+// refuse gives the gateway's own answer.
+func (n *Node) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
+	klog.InfoS("refused", "id", r.Header.Get(n.headers.RequestID), "status", f.status, "code", f.code, "wait_ms", f.wait.Milliseconds(), "version", n.version())
+	if f.wait > 0 {
+		seconds := math.Ceil(f.wait.Seconds()*1000) / 1000
+		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	if id := r.Header.Get(n.headers.RequestID); id != "" {
+		w.Header().Set(n.headers.RequestID, id)
+	}
+	if f.close || n.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	http.Error(w, f.code, f.status)
+}
+
+func (n *Node) version() int64 {
+	if t := n.table.Load(); t != nil {
+		return t.Config.Version
+	}
+	return 0
+}
+
+// choose picks the server for the next send.
+func (n *Node) choose(a *ask, avoid map[string]bool) (*server, bool) {
+	list := n.fleet.candidates(a.service, avoid)
+	n.rngMu.Lock()
+	defer n.rngMu.Unlock()
+	var c candidate
+	var ok bool
+	if a.route.Sticky {
+		c, ok = chooseEngine(list, a.parts, n.set.FailureDomain, n.rng)
+	} else {
+		c, ok = leastLoaded(list, n.set.FailureDomain, n.rng)
+	}
+	return c.server, ok
+}
+
+func (n *Node) serverLeft(id string) {
+	if n.fleet.leave(id) {
+		klog.InfoS("server_left", "server", id, "by", "answer")
+	}
+}
+
+// readiness tells the platform whether clients may be sent here.
+func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping() || n.table.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// resolve tells a client which addresses to use.
+func (n *Node) resolve(w http.ResponseWriter, _ *http.Request) {
+	var addresses []string
+	if !n.stopping() {
+		addresses = append(addresses, n.set.Listen.Callers)
+	}
+	for _, r := range n.members.Alive() {
+		if len(addresses) < addressesMost {
+			addresses = append(addresses, r.Callers)
+		}
+	}
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(n.platform.Resolve(addresses, n.set.AddressFor))
+}
+
+// dump tells the process's whole state.
+func (n *Node) dump(w http.ResponseWriter, _ *http.Request) {
+	complete, source := n.view.Complete()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"node": n.set.Node, "version": n.version(), "revision": complete, "source": source, "open": n.open.Load(),
+		"stopping": n.stopping(), "members": n.members.All(), "loads": fmt.Sprint(n.fleet.loads()),
+	})
+}
+
+// stop ends the node in order: no longer listed, serving what still comes
+// for a while, then done when nothing is in progress or the time is over.
+func (n *Node) stop() {
+	began := time.Now()
+	n.stopAt.Store(began.UnixNano())
+	klog.InfoS("stopping", "node", n.set.Node, "open", n.open.Load())
+	ctx, cancel := context.WithTimeout(context.Background(), duty.CallLimit)
+	n.lease.Close(ctx)
+	cancel()
+	end := began.Add(n.set.Grace - stopMargin)
+	quiet := min(refuseAfter+time.Second, n.set.Grace/2)
+	for time.Now().Before(end) {
+		if time.Since(began) > quiet && n.open.Load() == 0 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	klog.InfoS("stopped", "node", n.set.Node, "open", n.open.Load(), "after_ms", time.Since(began).Milliseconds())
+	klog.Flush()
+}
+
+func newReader(raw []byte) io.Reader { return bytes.NewReader(raw) }
--- /dev/null
+++ b/src/gateway/state.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"log"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/crankridge/crankridge/src/cluster"
+	"github.com/crankridge/crankridge/src/process"
+	"github.com/crankridge/crankridge/src/traffic"
+)
+
+// nodeEntry is what a node stores of itself, for others to find it.
+type nodeEntry struct {
+	Peers string `json:"peers"`
+}
+
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// quietLog drops the HTTP library's own lines, which name no request.
+func quietLog() *log.Logger { return log.New(discard{}, "", 0) }
+
+type discard struct{}
+
+// Write drops what it is given.
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// record is what this node tells of itself now.
+func (n *Node) record() *cluster.Record {
+	r := &cluster.Record{
+		Node: n.set.Node, Incarnation: n.began.UnixMicro(), Sequence: n.sequence.Add(1), Peers: n.set.Listen.Peers,
+		Callers: n.set.Listen.Callers, FailureDomain: n.set.FailureDomain, Leaving: n.stopping(), Ready: n.table.Load() != nil,
+	}
+	for name, total := range n.quota.Totals() {
+		r.Admitted = append(r.Admitted, &cluster.Tally{Name: name, Total: total})
+	}
+	for cell, count := range n.usage.recent() {
+		r.Usage = append(r.Usage, &cluster.Usage{Window: cell.window, Customer: cell.customer, Count: count})
+	}
+	for id, load := range n.fleet.loads() {
+		r.Loads = append(r.Loads, &cluster.Load{Server: id, Requests: int32(load.requests), UnreadTokens: load.unread})
+	}
+	return r
+}
+
+// spread takes in what the other nodes told.
+func (n *Node) spread() {
+	now := time.Now()
+	var counted []string
+	elsewhere := map[string]remoteLoad{}
+	for _, r := range n.members.Others(n.countedFor()) {
+		counted = append(counted, r.Node)
+		for _, load := range r.Loads {
+			sum := elsewhere[load.Server]
+			sum.requests += int(load.Requests)
+			sum.unread += load.UnreadTokens
+			elsewhere[load.Server] = sum
+		}
+	}
+	n.quota.SetNodes(counted)
+	n.fleet.setElsewhere(elsewhere)
+	for _, m := range n.members.All() {
+		r := m.Record
+		if r.Node != n.set.Node {
+			totals := make(map[string]float64, len(r.Admitted))
+			for _, t := range r.Admitted {
+				totals[t.Name] = t.Total
+			}
+			n.quota.Heard(r.Node, r.Incarnation, totals, m.Heard)
+		}
+	}
+	_ = now
+}
+
+const loadsFor = 10 * time.Second
+
+func (n *Node) countedFor() time.Duration { return loadsFor }
+
+// applyLoop puts every change of the view in force.
+func (n *Node) applyLoop(ctx context.Context) {
+	for {
+		changed := n.view.Changed()
+		n.apply()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (n *Node) apply() {
+	if it, ok := n.view.Get(n.platform.ConfigKey()); ok {
+		n.applyConfig(it.Value, it.Revision)
+	}
+	var list []traffic.Server
+	for _, it := range n.view.List(n.platform.ServerPrefix()) {
+		s, err := n.platform.DecodeServer(it.Key, it.Value)
+		if err != nil {
+			klog.ErrorS(err, "server_entry_unreadable", "key", it.Key)
+			continue
+		}
+		list = append(list, s)
+	}
+	n.fleet.set(list)
+}
+
+func (n *Node) applyConfig(raw []byte, revision int64) {
+	if n.configIn == revision {
+		return
+	}
+	c, err := n.platform.DecodeConfig(raw)
+	if err != nil {
+		klog.ErrorS(err, "configuration_unreadable", "revision", revision)
+		return
+	}
+	if c.Version < n.version() {
+		return
+	}
+	n.configIn = revision
+	n.table.Store(traffic.NewTable(c))
+	_, source := n.view.Complete()
+	klog.InfoS("configuration", "version", c.Version, "revision", revision, "routes", len(c.Routes), "source", source)
+}
+
+// backstopLoop reads the configuration now and then, in case a watch has
+// gone deaf: what a list finds newer is taken in by the view.
+func (n *Node) backstopLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(backstopEvery + rand.N(backstopEvery/4)):
+		}
+		it, found, _, err := n.store.Get(ctx, n.platform.ConfigKey())
+		if err != nil || !found {
+			continue
+		}
+		if have, ok := n.view.Get(it.Key); ok && have.Revision >= it.Revision {
+			continue
+		}
+		klog.InfoS("watch_deaf", "revision", it.Revision)
+		if items, revision, err := n.store.List(ctx, ""); err == nil {
+			n.view.ApplyList(items, revision)
+		}
+	}
+}
+
+// registerLoop stores where this node is found, once the store lets it.
+func (n *Node) registerLoop(ctx context.Context) {
+	raw, err := json.Marshal(nodeEntry{Peers: n.set.Listen.Peers})
+	if err != nil {
+		return
+	}
+	key := nodePrefix + n.set.Node
+	for ctx.Err() == nil {
+		have, _, _, err := n.store.Get(ctx, key)
+		if err == nil && string(have.Value) == string(raw) {
+			return
+		}
+		if err == nil {
+			if swap, err := n.store.PutIf(ctx, key, raw, have.Revision, 0); err == nil && swap.Won {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// seeds are addresses where other nodes may be found.
+func (n *Node) seeds() []string {
+	out := append([]string{}, n.set.Seeds...)
+	for _, it := range n.view.List(nodePrefix) {
+		var e nodeEntry
+		if json.Unmarshal(it.Value, &e) == nil && !strings.HasSuffix(it.Key, "/"+n.set.Node) {
+			out = append(out, e.Peers)
+		}
+	}
+	return out
+}
+
+// dutyLoop keeps the lease and does what its holder does.
+func (n *Node) dutyLoop(ctx context.Context) {
+	go process.Every(ctx, n.lease.Interval(), func() {
+		_, taken := n.view.Get(leaseKey)
+		n.lease.Step(ctx, taken)
+	})
+	go process.Every(ctx, stepEvery, func() { n.usageStep(ctx) })
+}
+
+func (n *Node) usageStep(ctx context.Context) {
+	for _, m := range n.members.All() {
+		for _, u := range m.Record.Usage {
+			n.ledger.Take(m.Record.Node, m.Record.Incarnation, u.Window, u.Customer, u.Count)
+		}
+	}
+	if n.set.Duties.Usage {
+		n.report.Step(ctx)
+	}
+}
--- a/src/member/node.go
+++ b/src/member/node.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/view"
 )
 
@@ -36,7 +36,7 @@
 // Key is the place of the record in the key space.
 func (n Node) Key() string { return Prefix + n.Name }
 
-func decodeNode(it platform.Item) (Node, error) {
+func decodeNode(it ports.Item) (Node, error) {
 	var n Node
 	err := json.Unmarshal(it.Value, &n)
 	return n, err
--- a/src/member/register.go
+++ b/src/member/register.go
@@ -10,7 +10,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 const (
@@ -21,7 +21,7 @@
 
 // Registrar keeps a node's record in the key-value service under a lease.
 type Registrar struct {
-	kv    *platform.KV
+	kv    *ports.KV
 	lease time.Duration
 	mu    sync.Mutex
 	node  Node
@@ -30,7 +30,7 @@
 }
 
 // NewRegistrar returns the registrar of a node.
-func NewRegistrar(kv *platform.KV, node Node, lease time.Duration) *Registrar {
+func NewRegistrar(kv *ports.KV, node Node, lease time.Duration) *Registrar {
 	return &Registrar{kv: kv, node: node, lease: lease, wake: make(chan struct{}, 1)}
 }
 
@@ -64,7 +64,7 @@
 			klog.V(1).InfoS("register", "err", err)
 			wait = retryRegister
 		}
-		if errors.Is(err, platform.ErrLeaseGone) {
+		if errors.Is(err, ports.ErrLeaseGone) {
 			// Many leases lapse together when an outage ends; a node without
 			// a record is still heard, so there is time to come back one by one.
 			wait = rand.N(r.lease / spreadParts)
@@ -75,7 +75,7 @@
 func (r *Registrar) step(ctx context.Context, lease *int64) error {
 	if *lease != 0 {
 		err := r.kv.KeepAlive(ctx, *lease)
-		if errors.Is(err, platform.ErrLeaseGone) {
+		if errors.Is(err, ports.ErrLeaseGone) {
 			*lease, r.known = 0, ""
 		}
 		if err != nil {
--- a/src/operator/store.go
+++ b/src/operator/store.go
@@ -11,7 +11,7 @@
 	"github.com/samber/oops"
 
 	"github.com/crankridge/crankridge/src/catalog"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/request"
 	"github.com/crankridge/crankridge/src/view"
 )
@@ -33,12 +33,12 @@
 
 // Store makes changes to resources. Each is one compare-and-swap on one key.
 type Store struct {
-	kv   *platform.KV
+	kv   *ports.KV
 	view *view.View
 }
 
 // NewStore returns a store over the key-value service and this process's view.
-func NewStore(kv *platform.KV, v *view.View) *Store { return &Store{kv, v} }
+func NewStore(kv *ports.KV, v *view.View) *Store { return &Store{kv, v} }
 
 // Put stores a resource that is still at version (0: that does not exist).
 // change names this write: asked again by the same name, or after a lost
@@ -76,7 +76,7 @@
 
 // standing compares what is stored with what the writer expects: done when
 // this very change is stored already.
-func standing(item platform.Item, exists bool, version int64, change string) (have catalog.Resource, done bool, err error) {
+func standing(item ports.Item, exists bool, version int64, change string) (have catalog.Resource, done bool, err error) {
 	if exists {
 		if have, err = catalog.Decode(item); err != nil {
 			return have, false, oops.Wrapf(err, "stored resource")
--- a/src/operator/watch.go
+++ b/src/operator/watch.go
@@ -9,7 +9,7 @@
 
 	"github.com/crankridge/crankridge/src/catalog"
 	"github.com/crankridge/crankridge/src/event"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 // Change types of a watch.
@@ -80,7 +80,7 @@
 	reply(w, http.StatusGone, Problem{Error: "the version is older than the history kept here", Hint: "list again and watch from the list's Crankridge-Revision"})
 }
 
-func changeOf(it platform.Item) (Change, bool) {
+func changeOf(it ports.Item) (Change, bool) {
 	if name, ok := strings.CutPrefix(it.Key, event.Prefix); ok && !it.Deleted {
 		st, err := event.Decode(it.Value)
 		return Change{Type: TypeStatus, Version: it.Revision, Kind: catalog.KindEvent, Name: name, Status: &st}, err == nil
--- a/src/plan/count.go
+++ b/src/plan/count.go
@@ -5,12 +5,12 @@
 	"slices"
 
 	"github.com/crankridge/crankridge/src/engine"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 // engineVM is an engine the plan can count on.
 type engineVM struct {
-	vm     platform.VM
+	vm     ports.VM
 	model  string // loaded, loading or meant for
 	loaded bool
 	ours   bool
@@ -41,17 +41,17 @@
 	}
 }
 
-func (b *builder) countVM(vm platform.VM) {
+func (b *builder) countVM(vm ports.VM) {
 	intent, ours := b.intents[vm.Name]
 	orphan := !ours && hasPrefix(vm.Name, b.in.Params.Prefix)
 	switch {
-	case vm.State == platform.VMTerminated:
+	case vm.State == ports.VMTerminated:
 		delete(b.intents, vm.Name)
 	case orphan:
 		// Bought by a planner that has lost its lease since; nobody wants it.
 		b.out.Terminate = append(b.out.Terminate, vm.Name)
-	case vm.State == platform.VMLeaving || intent.ReleaseMS > 0:
-	case vm.State == platform.VMBooting:
+	case vm.State == ports.VMLeaving || intent.ReleaseMS > 0:
+	case vm.State == ports.VMBooting:
 		b.coming(intent)
 	default:
 		b.countRunning(vm, intent, ours)
@@ -62,7 +62,7 @@
 	return len(name) > len(prefix) && name[:len(prefix)] == prefix && name[len(prefix)] == '-'
 }
 
-func (b *builder) countRunning(vm platform.VM, intent Intent, ours bool) {
+func (b *builder) countRunning(vm ports.VM, intent Intent, ours bool) {
 	e := &engineVM{vm: vm, model: intent.Model, ours: ours}
 	b.engines[vm.Name] = e
 	st, answered := b.in.Engines[vm.Name]
--- a/src/plan/place.go
+++ b/src/plan/place.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/crankridge/crankridge/src/engine"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 func (b *builder) byPriority() []*Need {
@@ -125,12 +125,12 @@
 
 // offer is the best VM to buy in a domain, by price and by what its loss
 // would cost: the more latency counts, the more a likely reclaim weighs.
-func (b *builder) offer(n *Need, domain string) (platform.Offer, bool) {
+func (b *builder) offer(n *Need, domain string) (ports.Offer, bool) {
 	if len(b.intents) >= b.in.Params.Most {
-		return platform.Offer{}, false
+		return ports.Offer{}, false
 	}
 	class := b.in.Catalog.Models[n.Model].Model.Class
-	var fits []platform.Offer
+	var fits []ports.Offer
 	for _, o := range b.in.Offers {
 		at, refused := b.in.Refused[KeyOf(o)]
 		if o.FailureDomain != domain || class != "" && o.Class != class || b.in.Params.OnDemand && o.Reclaimable {
@@ -143,20 +143,20 @@
 		fits = append(fits, o)
 	}
 	if len(fits) == 0 {
-		return platform.Offer{}, false
+		return ports.Offer{}, false
 	}
-	return slices.MinFunc(fits, func(x, y platform.Offer) int {
+	return slices.MinFunc(fits, func(x, y ports.Offer) int {
 		return cmp.Or(cmp.Compare(Score(x, n.Cost), Score(y, n.Cost)), cmp.Compare(x.Class, y.Class))
 	}), true
 }
 
 // Score is the hourly price of an offer with the risk of its loss counted in.
-func Score(o platform.Offer, costWeight float64) float64 {
+func Score(o ports.Offer, costWeight float64) float64 {
 	lossesPerHour := o.ReclaimPerDay / hoursPerDay
 	return o.HourPrice * (1 + lossesPerHour*lossCost*hoursPerDay*(1-costWeight))
 }
 
-func (n *Need) refuse(o platform.Offer) {
+func (n *Need) refuse(o ports.Offer) {
 	kind := "on-demand"
 	if o.Reclaimable {
 		kind = "reclaimable"
@@ -167,7 +167,7 @@
 	}
 }
 
-func (b *builder) buy(n *Need, o platform.Offer) {
+func (b *builder) buy(n *Need, o ports.Offer) {
 	i := Intent{Name: b.freeName(n.Model, o.FailureDomain), Model: n.Model, Offer: o, SinceMS: b.in.Now.UnixMilli()}
 	b.intents[i.Name] = i
 	b.out.Buy = append(b.out.Buy, i)
--- a/src/plan/plan.go
+++ b/src/plan/plan.go
@@ -8,24 +8,24 @@
 
 	"github.com/crankridge/crankridge/src/catalog"
 	"github.com/crankridge/crankridge/src/engine"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 // Intent is a VM the planner has decided to have. It is written down before
 // the VM is bought, so that a lost answer or a new planner buys no second one.
 type Intent struct {
-	Name      string         `json:"name"`
-	Model     string         `json:"model"`
-	Offer     platform.Offer `json:"offer"`
-	SinceMS   int64          `json:"since"`
-	ReleaseMS int64          `json:"release,omitempty"` // from when it gets no work; 0 while wanted
+	Name      string      `json:"name"`
+	Model     string      `json:"model"`
+	Offer     ports.Offer `json:"offer"`
+	SinceMS   int64       `json:"since"`
+	ReleaseMS int64       `json:"release,omitempty"` // from when it gets no work; 0 while wanted
 }
 
 // Input is all a plan depends on.
 type Input struct {
 	Catalog *catalog.Snapshot
-	VMs     []platform.VM
-	Offers  []platform.Offer
+	VMs     []ports.VM
+	Offers  []ports.Offer
 	Engines map[string]engine.State // by VM name, those that answered
 	Intents []Intent
 	Refused map[OfferKey]time.Time // when an offer was last refused
@@ -52,7 +52,7 @@
 }
 
 // KeyOf names an offer.
-func KeyOf(o platform.Offer) OfferKey { return OfferKey{o.Class, o.FailureDomain, o.Reclaimable} }
+func KeyOf(o ports.Offer) OfferKey { return OfferKey{o.Class, o.FailureDomain, o.Reclaimable} }
 
 const (
 	refusedFor   = 5 * time.Second // a refused offer is not asked again sooner
--- a/src/plan/plan_test.go
+++ b/src/plan/plan_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/crankridge/crankridge/src/catalog"
 	"github.com/crankridge/crankridge/src/engine"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 var now = time.Unix(1_800_000_000, 0)
@@ -21,9 +21,9 @@
 }
 
 func snapshot(list ...catalog.Resource) *catalog.Snapshot {
-	var items []platform.Item
+	var items []ports.Item
 	for _, r := range list {
-		items = append(items, platform.Item{Key: catalog.Key(r.Kind, r.Name), Value: r.Encode(), Revision: 1})
+		items = append(items, ports.Item{Key: catalog.Key(r.Kind, r.Name), Value: r.Encode(), Revision: 1})
 	}
 	s, broken := catalog.NewSnapshot(items)
 	if len(broken) > 0 {
@@ -32,12 +32,12 @@
 	return s
 }
 
-func offersIn(domains int) []platform.Offer {
-	var out []platform.Offer
+func offersIn(domains int) []ports.Offer {
+	var out []ports.Offer
 	for i := range domains {
 		d := fmt.Sprintf("d%d", i)
-		out = append(out, platform.Offer{Class: "gpu", FailureDomain: d, Reclaimable: true, HourPrice: 1, ReclaimPerDay: 0.2},
-			platform.Offer{Class: "gpu", FailureDomain: d, HourPrice: 3})
+		out = append(out, ports.Offer{Class: "gpu", FailureDomain: d, Reclaimable: true, HourPrice: 1, ReclaimPerDay: 0.2},
+			ports.Offer{Class: "gpu", FailureDomain: d, HourPrice: 3})
 	}
 	return out
 }
@@ -56,14 +56,14 @@
 	for _, name := range r.Actions.Terminate {
 		gone[name] = true
 	}
-	var vms []platform.VM
+	var vms []ports.VM
 	for _, vm := range in.VMs {
 		if !gone[vm.Name] {
 			vms = append(vms, vm)
 		}
 	}
 	for _, i := range r.Actions.Buy {
-		vms = append(vms, platform.VM{Name: i.Name, FailureDomain: i.Offer.FailureDomain, State: platform.VMRunning, Role: "engine", Address: i.Name})
+		vms = append(vms, ports.VM{Name: i.Name, FailureDomain: i.Offer.FailureDomain, State: ports.VMRunning, Role: "engine", Address: i.Name})
 	}
 	in.VMs = vms
 	in.Engines = maps.Clone(in.Engines)
@@ -184,14 +184,14 @@
 	in.Intents = first.Actions.Intents // stored, bought, not listed yet
 	again := Make(in)
 	is.Equal(len(again.Actions.Intents), len(first.Actions.Intents))
-	in.VMs = []platform.VM{{Name: "cr-m-d0-old", FailureDomain: "d0", State: platform.VMRunning, Role: "engine"}}
+	in.VMs = []ports.VM{{Name: "cr-m-d0-old", FailureDomain: "d0", State: ports.VMRunning, Role: "engine"}}
 	is.Equal(Make(in).Actions.Terminate, []string{"cr-m-d0-old"})
 }
 
 func TestPriceWeighsAgainstReclaims(t *testing.T) {
 	is := is.New(t)
-	cheap := platform.Offer{Reclaimable: true, HourPrice: 1, ReclaimPerDay: 1.5}
-	steady := platform.Offer{HourPrice: 3}
+	cheap := ports.Offer{Reclaimable: true, HourPrice: 1, ReclaimPerDay: 1.5}
+	steady := ports.Offer{HourPrice: 3}
 	is.True(Score(cheap, 1) < Score(steady, 1)) // cost only
 	is.True(Score(cheap, 0) > Score(steady, 0)) // latency only
 }
--- a/src/plan/release.go
+++ b/src/plan/release.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 // release gives back bought VMs beyond what is needed: first out of use, then,
@@ -28,8 +28,8 @@
 }
 
 func (b *builder) isGone(name string) bool {
-	return !slices.ContainsFunc(b.in.VMs, func(vm platform.VM) bool {
-		return vm.Name == name && vm.State != platform.VMTerminated
+	return !slices.ContainsFunc(b.in.VMs, func(vm ports.VM) bool {
+		return vm.Name == name && vm.State != ports.VMTerminated
 	})
 }
 
--- a/src/platform/kv.go
+++ b/src/ports/kv.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import (
 	"bytes"
@@ -236,3 +236,6 @@
 	}
 	return []byte{0}
 }
+
+// ErrSoldOut says that no machine of the wanted kind can be had at present.
+var ErrSoldOut = errors.New("none to be had at present")
--- a/src/platform/wire.go
+++ b/src/ports/wire.go
@@ -1,6 +1,6 @@
-// Package platform holds the ports to the services the platform gives: the
+// Package ports holds the ports to the services the platform gives: the
 // key-value service, the cloud API with its VM list, and the weight store.
-package platform
+package ports
 
 // The key-value service is spoken to by the JSON form of the etcd v3 API
 // (its published gRPC gateway). Keys and values travel as base64, 64-bit
--- /dev/null
+++ b/src/request/window.go
@@ -0,0 +1,76 @@
+package request
+
+import (
+	"sync"
+	"time"
+)
+
+// Parts of the limits on repeated sends that this node uses of its share.
+const (
+	ratioUsed   = 0.8
+	extraUsed   = 0.6
+	windowSlots = 20
+)
+
+// WindowBudget bounds repeated sends to a fraction of the requests in a
+// sliding window, over all nodes: each uses the fraction of its own requests
+// and an even share of what is allowed beyond it.
+type WindowBudget struct {
+	mu     sync.Mutex
+	ratio  float64
+	extra  float64
+	window time.Duration
+	slots  map[string]*[windowSlots + 1]windowSlot
+}
+
+type windowSlot struct {
+	number   int64
+	requests float64
+	repeats  float64
+}
+
+// NewWindowBudget allows ratio repeats for each request and extra more, in any window.
+func NewWindowBudget(ratio, extra float64, window time.Duration) *WindowBudget {
+	return &WindowBudget{ratio: ratio, extra: extra, window: window, slots: map[string]*[windowSlots + 1]windowSlot{}}
+}
+
+func (b *WindowBudget) slot(service string, now time.Time) *windowSlot {
+	ring := b.slots[service]
+	if ring == nil {
+		ring = &[windowSlots + 1]windowSlot{}
+		b.slots[service] = ring
+	}
+	number := now.UnixNano() / int64(b.window/windowSlots)
+	s := &ring[number%(windowSlots+1)]
+	if s.number != number {
+		*s = windowSlot{number: number}
+	}
+	return s
+}
+
+// Earn counts a request for a service. The moment must not be taken from a
+// clock that steps.
+func (b *WindowBudget) Earn(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slot(service, now).requests++
+}
+
+// Spend takes one repeat when this node's share, among so many nodes, has one left.
+func (b *WindowBudget) Spend(service string, nodes int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.slot(service, now)
+	var requests, repeats float64
+	for _, s := range b.slots[service] {
+		if current.number-s.number <= windowSlots {
+			requests += s.requests
+			repeats += s.repeats
+		}
+	}
+	if repeats+1 > b.ratio*ratioUsed*requests+b.extra*extraUsed/float64(max(nodes, 1)) {
+		return false
+	}
+	current.repeats++
+	return true
+}
--- a/src/standin/cloud.go
+++ b/src/standin/cloud.go
@@ -14,7 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 // CloudFaults are the ways in which the cloud can fail.
@@ -30,7 +30,7 @@
 type Cloud struct {
 	mu      sync.Mutex
 	vms     map[string]*cloudVM
-	offers  []platform.Offer
+	offers  []ports.Offer
 	faults  CloudFaults
 	shape   EngineShape
 	weights string
@@ -40,7 +40,7 @@
 }
 
 type cloudVM struct {
-	platform.VM
+	ports.VM
 	since  time.Time
 	engine *Engine
 	server *http.Server
@@ -48,7 +48,7 @@
 
 type cloudList struct {
 	at   time.Time
-	list []platform.VM
+	list []ports.VM
 }
 
 const (
@@ -57,10 +57,10 @@
 )
 
 // NewCloud returns a cloud with the given VMs already running.
-func NewCloud(vms []platform.VM, offers []platform.Offer, shape EngineShape, weights string) *Cloud {
+func NewCloud(vms []ports.VM, offers []ports.Offer, shape EngineShape, weights string) *Cloud {
 	c := &Cloud{vms: map[string]*cloudVM{}, offers: offers, shape: shape, weights: weights}
 	for _, vm := range vms {
-		vm.State = platform.VMRunning
+		vm.State = ports.VMRunning
 		c.vms[vm.Name] = &cloudVM{VM: vm, since: time.Now()}
 	}
 	go c.run()
@@ -86,7 +86,7 @@
 		c.mu.Lock()
 		now := time.Now()
 		for _, vm := range c.vms {
-			if vm.State == platform.VMLeaving && now.UnixMilli() >= vm.DeadlineMS {
+			if vm.State == ports.VMLeaving && now.UnixMilli() >= vm.DeadlineMS {
 				c.end(vm)
 			}
 		}
@@ -98,8 +98,8 @@
 	}
 }
 
-func (c *Cloud) list() []platform.VM {
-	var out []platform.VM
+func (c *Cloud) list() []ports.VM {
+	var out []ports.VM
 	for _, vm := range c.vms {
 		out = append(out, vm.VM)
 	}
@@ -107,10 +107,10 @@
 }
 
 func (c *Cloud) end(vm *cloudVM) {
-	if vm.State == platform.VMTerminated {
+	if vm.State == ports.VMTerminated {
 		return
 	}
-	vm.State = platform.VMTerminated
+	vm.State = ports.VMTerminated
 	c.hours += time.Since(vm.since).Hours() * vm.HourPrice
 	if vm.engine != nil {
 		vm.engine.Stop()
@@ -132,7 +132,7 @@
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.VM) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(out, func(a, b ports.VM) int { return strings.Compare(a.Name, b.Name) })
 	raw, _ := json.Marshal(out)
 	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(raw), 16))
 	w.Header().Set("ETag", tag)
@@ -149,7 +149,7 @@
 }
 
 func (c *Cloud) serveBuy(w http.ResponseWriter, r *http.Request) {
-	var o platform.Offer
+	var o ports.Offer
 	if !readJSON(w, r, &o) {
 		return
 	}
@@ -174,7 +174,7 @@
 	writeJSON(w, http.StatusOK, vm.VM)
 }
 
-func (c *Cloud) refuses(o platform.Offer) bool {
+func (c *Cloud) refuses(o ports.Offer) bool {
 	for _, f := range c.faults.Refuse {
 		if f == "all" || f == o.FailureDomain || (f == "reclaimable" && o.Reclaimable) {
 			return true
@@ -183,11 +183,11 @@
 	return false
 }
 
-func (c *Cloud) boot(name string, o platform.Offer) *cloudVM {
+func (c *Cloud) boot(name string, o ports.Offer) *cloudVM {
 	c.bought++
-	vm := &cloudVM{since: time.Now(), VM: platform.VM{
+	vm := &cloudVM{since: time.Now(), VM: ports.VM{
 		ID: fmt.Sprintf("vm-%d", c.bought), Name: name, Class: o.Class, FailureDomain: o.FailureDomain,
-		Region: o.Region, Reclaimable: o.Reclaimable, State: platform.VMBooting, Role: "engine", HourPrice: o.HourPrice,
+		Region: o.Region, Reclaimable: o.Reclaimable, State: ports.VMBooting, Role: "engine", HourPrice: o.HourPrice,
 	}}
 	c.vms[name] = vm
 	time.AfterFunc(time.Duration(o.BootMS)*time.Millisecond, func() { c.start(vm) })
@@ -198,13 +198,13 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err != nil || vm.State != platform.VMBooting {
+	if err != nil || vm.State != ports.VMBooting {
 		return
 	}
 	vm.Address = ln.Addr().String()
 	vm.engine = NewEngine(vm.Name, c.shape, c.weights)
 	vm.server = &http.Server{Handler: vm.engine.Handler()}
-	vm.State = platform.VMRunning
+	vm.State = ports.VMRunning
 	go func() { _ = vm.server.Serve(ln) }()
 }
 
@@ -220,12 +220,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, vm := range c.vms {
-		if vm.ID == mux.Vars(r)["id"] && vm.State == platform.VMLeaving {
+		if vm.ID == mux.Vars(r)["id"] && vm.State == ports.VMLeaving {
 			writeJSON(w, http.StatusOK, vm.VM)
 			return
 		}
 	}
-	writeJSON(w, http.StatusOK, platform.VM{})
+	writeJSON(w, http.StatusOK, ports.VM{})
 }
 
 // Reclaim names what the cloud takes back: one VM, or a failure domain's
@@ -248,10 +248,10 @@
 	taken := 0
 	for _, vm := range c.vms {
 		wave := q.Name == "" && vm.FailureDomain == q.FailureDomain && vm.Reclaimable && (q.Role == "" || q.Role == vm.Role)
-		if vm.State == platform.VMTerminated || vm.State == platform.VMLeaving || !(wave || vm.Name == q.Name) {
+		if vm.State == ports.VMTerminated || vm.State == ports.VMLeaving || !(wave || vm.Name == q.Name) {
 			continue
 		}
-		vm.State = platform.VMLeaving
+		vm.State = ports.VMLeaving
 		vm.DeadlineMS = deadline
 		taken++
 		c.tell(vm)
@@ -293,7 +293,7 @@
 	defer c.mu.Unlock()
 	out := CloudCost{Bought: c.bought, Price: c.hours}
 	for _, vm := range c.vms {
-		if vm.State != platform.VMTerminated {
+		if vm.State != ports.VMTerminated {
 			out.Living++
 			out.Price += time.Since(vm.since).Hours() * vm.HourPrice
 		}
--- a/src/standin/kv.go
+++ b/src/standin/kv.go
@@ -12,7 +12,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 const (
@@ -34,15 +34,15 @@
 type KV struct {
 	mu      sync.Mutex
 	rev     int64
-	data    map[string]platform.WireKV
-	history []platform.WireEvent
+	data    map[string]ports.WireKV
+	history []ports.WireEvent
 	floor   int64
 	leases  map[int64]*kvLease
 	next    int64
 	changed chan struct{}
 	down    chan struct{}
 	faults  KVFaults
-	stale   *platform.WireRangeResult
+	stale   *ports.WireRangeResult
 	calls   map[string]int64
 }
 
@@ -54,7 +54,7 @@
 // NewKV returns an empty service. Its lease sweep ends with the process.
 func NewKV() *KV {
 	k := &KV{
-		data: map[string]platform.WireKV{}, leases: map[int64]*kvLease{},
+		data: map[string]ports.WireKV{}, leases: map[int64]*kvLease{},
 		changed: make(chan struct{}), down: make(chan struct{}), calls: map[string]int64{},
 	}
 	go k.sweep()
@@ -122,7 +122,7 @@
 }
 
 func (k *KV) serveRange(w http.ResponseWriter, r *http.Request) {
-	var req platform.WireRange
+	var req ports.WireRange
 	if !readJSON(w, r, &req) {
 		return
 	}
@@ -135,8 +135,8 @@
 	writeJSON(w, http.StatusOK, res)
 }
 
-func staleRange(all platform.WireRangeResult, req platform.WireRange) platform.WireRangeResult {
-	out := platform.WireRangeResult{Header: all.Header}
+func staleRange(all ports.WireRangeResult, req ports.WireRange) ports.WireRangeResult {
+	out := ports.WireRangeResult{Header: all.Header}
 	for _, kv := range all.KVs {
 		if inRange(kv.Key, req.Key, req.RangeEnd) {
 			out.KVs = append(out.KVs, kv)
@@ -152,19 +152,19 @@
 	return bytes.Compare(key, from) >= 0 && bytes.Compare(key, end) < 0
 }
 
-func (k *KV) rangeOf(from, end []byte) platform.WireRangeResult {
-	res := platform.WireRangeResult{Header: platform.WireHeader{Revision: k.rev}}
+func (k *KV) rangeOf(from, end []byte) ports.WireRangeResult {
+	res := ports.WireRangeResult{Header: ports.WireHeader{Revision: k.rev}}
 	for _, kv := range k.data {
 		if inRange(kv.Key, from, end) {
 			res.KVs = append(res.KVs, kv)
 		}
 	}
-	slices.SortFunc(res.KVs, func(a, b platform.WireKV) int { return bytes.Compare(a.Key, b.Key) })
+	slices.SortFunc(res.KVs, func(a, b ports.WireKV) int { return bytes.Compare(a.Key, b.Key) })
 	return res
 }
 
 func (k *KV) serveTxn(w http.ResponseWriter, r *http.Request) {
-	var req platform.WireTxn
+	var req ports.WireTxn
 	if !readJSON(w, r, &req) {
 		return
 	}
@@ -185,7 +185,7 @@
 	}
 }
 
-func (k *KV) txn(req platform.WireTxn) (platform.WireTxnResult, bool) {
+func (k *KV) txn(req ports.WireTxn) (ports.WireTxnResult, bool) {
 	ops := req.Success
 	won := true
 	for _, c := range req.Compare {
@@ -194,9 +194,9 @@
 	if !won {
 		ops = req.Failure
 	}
-	res := platform.WireTxnResult{Succeeded: won}
+	res := ports.WireTxnResult{Succeeded: won}
 	for _, op := range ops {
-		var out platform.WireOpResult
+		var out ports.WireOpResult
 		switch {
 		case op.Range != nil:
 			rr := k.rangeOf(op.Range.Key, op.Range.RangeEnd)
@@ -215,11 +215,11 @@
 	return res, true
 }
 
-func (k *KV) put(p platform.WirePut) {
+func (k *KV) put(p ports.WirePut) {
 	k.rev++
-	kv := platform.WireKV{Key: p.Key, Value: p.Value, ModRevision: k.rev, Lease: p.Lease}
+	kv := ports.WireKV{Key: p.Key, Value: p.Value, ModRevision: k.rev, Lease: p.Lease}
 	k.data[string(p.Key)] = kv
-	k.record(platform.WireEvent{KV: kv})
+	k.record(ports.WireEvent{KV: kv})
 }
 
 func (k *KV) remove(key string) {
@@ -228,10 +228,10 @@
 	}
 	k.rev++
 	delete(k.data, key)
-	k.record(platform.WireEvent{Type: platform.EventDelete, KV: platform.WireKV{Key: []byte(key), ModRevision: k.rev}})
+	k.record(ports.WireEvent{Type: ports.EventDelete, KV: ports.WireKV{Key: []byte(key), ModRevision: k.rev}})
 }
 
-func (k *KV) record(ev platform.WireEvent) {
+func (k *KV) record(ev ports.WireEvent) {
 	k.history = append(k.history, ev)
 	if len(k.history) > kvHistory {
 		k.floor = k.history[0].KV.ModRevision
@@ -242,7 +242,7 @@
 }
 
 func (k *KV) serveGrant(w http.ResponseWriter, r *http.Request) {
-	var req platform.WireLease
+	var req ports.WireLease
 	if !readJSON(w, r, &req) {
 		return
 	}
@@ -252,26 +252,26 @@
 	ttl := time.Duration(req.TTL) * time.Second
 	k.leases[id] = &kvLease{ttl: ttl, ends: time.Now().Add(ttl)}
 	k.mu.Unlock()
-	writeJSON(w, http.StatusOK, platform.WireLease{ID: id, TTL: req.TTL})
+	writeJSON(w, http.StatusOK, ports.WireLease{ID: id, TTL: req.TTL})
 }
 
 func (k *KV) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
-	var req platform.WireLease
+	var req ports.WireLease
 	if !readJSON(w, r, &req) {
 		return
 	}
-	var out platform.WireKeepAlive
+	var out ports.WireKeepAlive
 	k.mu.Lock()
 	if l := k.leases[req.ID]; l != nil {
 		l.ends = time.Now().Add(l.ttl)
-		out.Result = platform.WireLease{ID: req.ID, TTL: int64(l.ttl / time.Second)}
+		out.Result = ports.WireLease{ID: req.ID, TTL: int64(l.ttl / time.Second)}
 	}
 	k.mu.Unlock()
 	writeJSON(w, http.StatusOK, out)
 }
 
 func (k *KV) serveRevoke(w http.ResponseWriter, r *http.Request) {
-	var req platform.WireLease
+	var req ports.WireLease
 	if !readJSON(w, r, &req) {
 		return
 	}
@@ -304,7 +304,7 @@
 }
 
 func (k *KV) serveWatch(w http.ResponseWriter, r *http.Request) {
-	var req platform.WireWatchCreate
+	var req ports.WireWatchCreate
 	if !readJSON(w, r, &req) {
 		return
 	}
@@ -333,15 +333,15 @@
 	}
 }
 
-func (k *KV) batch(req platform.WireWatchCreate, from int64) (platform.WireWatchResult, bool) {
-	var msg platform.WireWatchResult
+func (k *KV) batch(req ports.WireWatchCreate, from int64) (ports.WireWatchResult, bool) {
+	var msg ports.WireWatchResult
 	msg.Result.Header.Revision = k.rev
 	if from <= k.floor {
 		msg.Result.Canceled = true
 		msg.Result.CompactRevision = k.floor + 1
 		return msg, true
 	}
-	at, _ := slices.BinarySearchFunc(k.history, from, func(ev platform.WireEvent, rev int64) int {
+	at, _ := slices.BinarySearchFunc(k.history, from, func(ev ports.WireEvent, rev int64) int {
 		return int(ev.KV.ModRevision - rev)
 	})
 	for _, ev := range k.history[at:] {
--- a/src/standin/run.go
+++ b/src/standin/run.go
@@ -8,7 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/crankridge/crankridge/src/engine"
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/settings"
 )
 
@@ -74,16 +74,16 @@
 }
 
 func cloudOf(c settings.StandinCloud) *Cloud {
-	var vms []platform.VM
+	var vms []ports.VM
 	for _, v := range c.VMs {
-		vms = append(vms, platform.VM{
+		vms = append(vms, ports.VM{
 			ID: v.Name, Name: v.Name, Class: v.Class, FailureDomain: v.FailureDomain, Region: v.Region, Reclaimable: v.Reclaimable,
 			Address: v.Address, Role: v.Role, Service: v.Service, HourPrice: v.HourPrice,
 		})
 	}
-	var offers []platform.Offer
+	var offers []ports.Offer
 	for _, o := range c.Offers {
-		offers = append(offers, platform.Offer{
+		offers = append(offers, ports.Offer{
 			Class: o.Class, FailureDomain: o.FailureDomain, Region: o.Region, Reclaimable: o.Reclaimable,
 			HourPrice: o.HourPrice, ReclaimPerDay: o.ReclaimPerDay, BootMS: o.Boot.Milliseconds(),
 		})
--- a/src/view/follow.go
+++ b/src/view/follow.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"k8s.io/klog/v2"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 const (
@@ -16,16 +16,22 @@
 	retryMost  = 3 * time.Second
 )
 
-// Follow keeps the view in step with the key-value service until ctx ends: a
+// Watchable is a key-value service that can be listed and watched.
+type Watchable interface {
+	List(ctx context.Context, prefix string) ([]ports.Item, int64, error)
+	Watch(ctx context.Context, prefix string, from int64, each func(ports.Batch)) error
+}
+
+// Follow keeps the view in step with the keys below prefix until ctx ends: a
 // listing first, then a watch from the revision after it. A broken watch is
 // taken up where it ended; only a compacted history costs another listing.
-func (v *View) Follow(ctx context.Context, kv *platform.KV) {
+func (v *View) Follow(ctx context.Context, kv Watchable, prefix string) {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = retryFirst
 	wait.MaxInterval = retryMost
 	list := true
 	for ctx.Err() == nil {
-		err := v.step(ctx, kv, &list, wait.Reset)
+		err := v.step(ctx, kv, prefix, &list, wait.Reset)
 		if ctx.Err() != nil {
 			return
 		}
@@ -37,9 +43,9 @@
 	}
 }
 
-func (v *View) step(ctx context.Context, kv *platform.KV, list *bool, well func()) error {
+func (v *View) step(ctx context.Context, kv Watchable, prefix string, list *bool, well func()) error {
 	if *list {
-		items, rev, err := kv.List(ctx, Prefix)
+		items, rev, err := kv.List(ctx, prefix)
 		if err != nil {
 			return err
 		}
@@ -49,11 +55,11 @@
 	// Peers may have moved the view past what this watch saw; starting at the
 	// complete revision is right in both cases.
 	from, _ := v.Complete()
-	err := kv.Watch(ctx, Prefix, from+1, func(b platform.Batch) {
+	err := kv.Watch(ctx, prefix, from+1, func(b ports.Batch) {
 		well()
 		v.ApplyBatch(b)
 	})
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, ports.ErrCompacted) {
 		*list = true
 	}
 	return err
--- a/src/view/view.go
+++ b/src/view/view.go
@@ -12,7 +12,7 @@
 	"strings"
 	"sync"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 // Prefix is the part of the key space that belongs to the system.
@@ -30,7 +30,7 @@
 // View is safe for use by several goroutines.
 type View struct {
 	mu       sync.Mutex
-	items    map[string]platform.Item
+	items    map[string]ports.Item
 	complete int64
 	// whole is the revision up to which removals may be unknown here: a
 	// listing shows what stands, not what was removed before it.
@@ -41,14 +41,14 @@
 
 	// log keeps the last changes for those who follow them one by one; it is
 	// whole from revision floor on.
-	log   []platform.Item
+	log   []ports.Item
 	kept  int
 	floor int64
 }
 
 // New returns an empty view.
 func New() *View {
-	return &View{items: map[string]platform.Item{}, changed: make(chan struct{})}
+	return &View{items: map[string]ports.Item{}, changed: make(chan struct{})}
 }
 
 // NewLogged returns an empty view that also keeps its last changes, up to kept.
@@ -60,7 +60,7 @@
 
 // Log returns the changes above revision rev, removals included, in order,
 // and the complete revision. ok is false when the log does not reach back so far.
-func (v *View) Log(rev int64) (items []platform.Item, complete int64, ok bool) {
+func (v *View) Log(rev int64) (items []ports.Item, complete int64, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if rev < v.floor {
@@ -76,7 +76,7 @@
 
 // Delta is what one view gives another.
 type Delta struct {
-	Items    []platform.Item
+	Items    []ports.Item
 	Complete int64 // revision up to which nothing is missing after merging
 	// Whole says that Items are all that stands, so that what is not among
 	// them was removed; else they are what changed, removals included.
@@ -85,13 +85,13 @@
 
 // ApplyList merges a whole listing read at revision rev. A key that the
 // listing lacks was removed by then, unless the view holds a later revision.
-func (v *View) ApplyList(items []platform.Item, rev int64) {
+func (v *View) ApplyList(items []ports.Item, rev int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.list(items, rev, FromKV)
 }
 
-func (v *View) list(items []platform.Item, rev int64, src Source) {
+func (v *View) list(items []ports.Item, rev int64, src Source) {
 	if rev < v.complete {
 		return
 	}
@@ -103,7 +103,7 @@
 	}
 	for key, it := range v.items {
 		if !listed[key] && !it.Deleted && it.Revision <= rev {
-			moved = v.offer(platform.Item{Key: key, Revision: rev, Deleted: true}) || moved
+			moved = v.offer(ports.Item{Key: key, Revision: rev, Deleted: true}) || moved
 		}
 	}
 	v.whole = max(v.whole, rev)
@@ -114,7 +114,7 @@
 
 // ApplyBatch merges one message of an unbroken watch that began no later than
 // the view's complete revision.
-func (v *View) ApplyBatch(b platform.Batch) {
+func (v *View) ApplyBatch(b ports.Batch) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.merge(b.Items, b.Revision, FromKV)
@@ -132,7 +132,7 @@
 	v.merge(d.Items, d.Complete, FromPeer)
 }
 
-func (v *View) merge(items []platform.Item, complete int64, src Source) {
+func (v *View) merge(items []ports.Item, complete int64, src Source) {
 	moved := false
 	for _, it := range items {
 		moved = v.offer(it) || moved
@@ -141,7 +141,7 @@
 }
 
 // offer takes the item when it is newer than what the view holds.
-func (v *View) offer(it platform.Item) bool {
+func (v *View) offer(it ports.Item) bool {
 	old, ok := v.items[it.Key]
 	// What is not held although the view is whole up to it was removed since.
 	if ok && old.Revision >= it.Revision || !ok && it.Revision <= v.whole {
@@ -192,7 +192,7 @@
 	}
 	slices.Sort(revs)
 	upTo := revs[len(revs)/2]
-	maps.DeleteFunc(v.items, func(_ string, it platform.Item) bool { return it.Deleted && it.Revision <= upTo })
+	maps.DeleteFunc(v.items, func(_ string, it ports.Item) bool { return it.Deleted && it.Revision <= upTo })
 	v.removed = len(revs) - len(revs)/2 - 1
 	v.whole = max(v.whole, upTo)
 }
@@ -207,12 +207,12 @@
 			d.Items = append(d.Items, it)
 		}
 	}
-	slices.SortFunc(d.Items, func(a, b platform.Item) int { return int(a.Revision - b.Revision) })
+	slices.SortFunc(d.Items, func(a, b ports.Item) int { return int(a.Revision - b.Revision) })
 	return d
 }
 
 // Get returns the live item of a key.
-func (v *View) Get(key string) (platform.Item, bool) {
+func (v *View) Get(key string) (ports.Item, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	it, ok := v.items[key]
@@ -220,10 +220,10 @@
 }
 
 // List returns the live items below prefix, sorted by key.
-func (v *View) List(prefix string) []platform.Item {
+func (v *View) List(prefix string) []ports.Item {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var out []platform.Item
+	var out []ports.Item
 	for _, key := range slices.Sorted(maps.Keys(v.items)) {
 		it := v.items[key]
 		if strings.HasPrefix(key, prefix) && !it.Deleted {
--- a/src/view/view_test.go
+++ b/src/view/view_test.go
@@ -8,23 +8,23 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/crankridge/crankridge/src/platform"
+	"github.com/crankridge/crankridge/src/ports"
 )
 
 // store is the key-value service with its whole history.
-type store struct{ history []platform.Item }
+type store struct{ history []ports.Item }
 
 func (s *store) write(key string, deleted bool) {
-	s.history = append(s.history, platform.Item{Key: key, Revision: int64(len(s.history) + 1), Deleted: deleted})
+	s.history = append(s.history, ports.Item{Key: key, Revision: int64(len(s.history) + 1), Deleted: deleted})
 }
 
 // at lists what stood at revision rev, as a stale read of that age would.
-func (s *store) at(rev int) []platform.Item {
-	last := map[string]platform.Item{}
+func (s *store) at(rev int) []ports.Item {
+	last := map[string]ports.Item{}
 	for _, it := range s.history[:rev] {
 		last[it.Key] = it
 	}
-	var out []platform.Item
+	var out []ports.Item
 	for _, it := range last {
 		if !it.Deleted {
 			out = append(out, it)
@@ -60,7 +60,7 @@
 			case "watch":
 				upTo := rapid.IntRange(0, len(s.history)).Draw(t, "up to")
 				if int64(upTo) > v.complete {
-					v.ApplyBatch(platform.Batch{Items: s.history[v.complete:upTo], Revision: int64(upTo)})
+					v.ApplyBatch(ports.Batch{Items: s.history[v.complete:upTo], Revision: int64(upTo)})
 				}
 			case "exchange":
 				d := views[rapid.IntRange(0, len(views)-1).Draw(t, "peer")].Since(v.complete)
@@ -112,8 +112,8 @@
 		s.write(fmt.Sprintf("k%d", i), true)
 	}
 	s.write("last", false)
-	behind.ApplyBatch(platform.Batch{Items: s.history[:1], Revision: 1})
-	v.ApplyBatch(platform.Batch{Items: s.history, Revision: int64(len(s.history))})
+	behind.ApplyBatch(ports.Batch{Items: s.history[:1], Revision: 1})
+	v.ApplyBatch(ports.Batch{Items: s.history, Revision: int64(len(s.history))})
 	is.True(len(v.items) <= removalsKept+1)
 	behind.ApplyPeer(v.Since(behind.complete))
 	is.Equal(live(behind), live(v)) // k0's removal is forgotten by name, not in effect
@@ -123,7 +123,7 @@
 	is := is.New(t)
 	v := NewLogged(3)
 	for rev := range int64(5) {
-		v.ApplyBatch(platform.Batch{Items: []platform.Item{{Key: "k", Revision: rev + 1}}, Revision: rev + 1})
+		v.ApplyBatch(ports.Batch{Items: []ports.Item{{Key: "k", Revision: rev + 1}}, Revision: rev + 1})
 	}
 	items, complete, ok := v.Log(2)
 	is.True(ok)
