Order reclaimable servers, on-demand ones beneath them and in their place

Ruled out: fewer servers. Conclusion: a plan from demand is the next step; the figures are constants.

--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -20,6 +20,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/crankridge/crankridge/src/admit"
+	"github.com/crankridge/crankridge/src/capacity"
 	"github.com/crankridge/crankridge/src/cluster"
 	"github.com/crankridge/crankridge/src/duty"
 	"github.com/crankridge/crankridge/src/process"
@@ -66,6 +67,7 @@
 	ledger  *duty.Ledger
 	lease   *duty.Lease
 	report  *duty.Usage
+	buyer   *capacity.Buyer
 
 	began    time.Time
 	sequence atomic.Int64
@@ -94,6 +96,7 @@
 		Ledger: n.ledger, Lease: n.lease, Store: n.store, Sender: p, Prefix: usagePrefix,
 		Window: set.Duties.UsageWindow, Late: set.Duties.UsageLate, Clock: n.agreed,
 	}
+	n.buyer = &capacity.Buyer{Lease: n.lease, Sender: p, Now: time.Now}
 	return n
 }
 
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -4,13 +4,16 @@
 	"context"
 	"encoding/json"
 	"log"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/crankridge/crankridge/src/capacity"
 	"github.com/crankridge/crankridge/src/cluster"
 	"github.com/crankridge/crankridge/src/process"
 	"github.com/crankridge/crankridge/src/traffic"
@@ -51,10 +54,9 @@
 
 // spread takes in what the other nodes told.
 func (n *Node) spread() {
-	now := time.Now()
 	var counted []string
 	elsewhere := map[string]remoteLoad{}
-	for _, r := range n.members.Others(n.countedFor()) {
+	for _, r := range n.members.Others(loadsFor) {
 		counted = append(counted, r.Node)
 		for _, load := range r.Loads {
 			sum := elsewhere[load.Server]
@@ -75,13 +77,10 @@
 			n.quota.Heard(r.Node, r.Incarnation, totals, m.Heard)
 		}
 	}
-	_ = now
 }
 
 const loadsFor = 10 * time.Second
 
-func (n *Node) countedFor() time.Duration { return loadsFor }
-
 // applyLoop puts every change of the view in force.
 func (n *Node) applyLoop(ctx context.Context) {
 	for {
@@ -195,6 +194,31 @@
 		n.lease.Step(ctx, taken)
 	})
 	go process.Every(ctx, stepEvery, func() { n.usageStep(ctx) })
+	if n.set.Duties.Scale {
+		go process.Every(ctx, stepEvery, func() { n.scaleStep(ctx) })
+	}
+}
+
+// scaleStep orders servers for every service that can be scaled.
+func (n *Node) scaleStep(ctx context.Context) {
+	table := n.table.Load()
+	if table == nil {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(table.Config.Services)) {
+		service := table.Config.Services[name]
+		if service.Scaling == nil {
+			continue
+		}
+		supply := capacity.SupplyOf(n.fleet.list(name))
+		orders := capacity.Plan(name, *service.Scaling, n.need(service), supply)
+		n.buyer.Step(ctx, *service.Scaling, orders, supply)
+	}
+}
+
+// need is how many servers of a service each failure domain shall have.
+func (n *Node) need(traffic.Service) capacity.Need {
+	return capacity.Need{Total: 5, Floor: 1}
 }
 
 func (n *Node) usageStep(ctx context.Context) {
