--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -9,6 +10,20 @@
 const (
 	silentAfter = 700 * time.Millisecond // a node not heard for longer is charged for by its even share
 	refillMost  = 2 * time.Second        // most that counts as having passed between two looks
+	unseenFor   = 400 * time.Millisecond // time constant in which the others learn of an admission
+)
+
+// Tolerance is by how much a limit may be exceeded over a window; a part of
+// it is used, the rest covers what is admitted before the nodes know of it.
+type Tolerance struct {
+	Overage float64 // part of the limit
+	Slack   float64 // beyond it
+}
+
+// Parts of the tolerance that the buckets use.
+const (
+	overageUsed = 0.4
+	slackUsed   = 0.5
 )
 
 // SharedLimiter holds each customer to one limit over all nodes. Every node
@@ -22,11 +37,13 @@
 	admit   map[string]float64 // own running sums by customer
 	peers   map[string]*peerTotals
 	nodes   int
+	over    Tolerance
 }
 
 type sharedBucket struct {
-	level float64
-	at    time.Time
+	level  float64
+	at     time.Time
+	unseen float64 // own admissions that the others do not know yet, about
 }
 
 // peerTotals is what one node told of its running sums.
@@ -39,8 +56,8 @@
 
 // NewSharedLimiter returns a limiter whose buckets are empty: what was
 // admitted before it began is not known.
-func NewSharedLimiter(now time.Time) *SharedLimiter {
-	return &SharedLimiter{began: now, buckets: map[string]*sharedBucket{}, admit: map[string]float64{}, peers: map[string]*peerTotals{}, nodes: 1}
+func NewSharedLimiter(now time.Time, over Tolerance) *SharedLimiter {
+	return &SharedLimiter{began: now, over: over, buckets: map[string]*sharedBucket{}, admit: map[string]float64{}, peers: map[string]*peerTotals{}, nodes: 1}
 }
 
 // SetNodes tells among how many nodes a rate is shared, this one included,
@@ -104,13 +121,18 @@
 func (l *SharedLimiter) Take(customer string, cost, rate, burst float64, now time.Time) (ok bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	rate *= 1 + l.over.Overage*overageUsed
+	burst += burst*l.over.Overage*overageUsed + l.over.Slack*slackUsed
 	bucket := l.refill(customer, rate, burst, now)
+	// The others are taken to have admitted as much unseen as this node has.
+	level := bucket.level - bucket.unseen*float64(l.nodes-1)
 	// A request larger than the whole burst passes when the bucket is full.
 	need := min(cost, burst)
-	if bucket.level < need {
-		return false, time.Duration((need - bucket.level) / rate * float64(time.Second))
+	if level < need {
+		return false, time.Duration((need - level) / rate * float64(time.Second))
 	}
 	bucket.level -= cost
+	bucket.unseen += cost
 	l.admit[customer] += cost
 	return true, 0
 }
@@ -133,6 +155,7 @@
 	}
 	passed := max(min(now.Sub(bucket.at), refillMost), 0).Seconds()
 	bucket.at = now
+	bucket.unseen *= math.Exp(-passed / unseenFor.Seconds())
 	bucket.level += rate * passed
 	even := rate / float64(l.nodes) * passed
 	for _, peer := range l.peers {
--- a/src/duty/term.go
+++ b/src/duty/term.go
@@ -59,10 +59,14 @@
 	renewed time.Time
 }
 
-// NewLease returns the lease kept at key, for the node holder.
-func NewLease(store Store, key, holder string, ttl time.Duration, now func() time.Time) *Lease {
-	// This machine may have acted just before the process was started anew.
-	return &Lease{store: store, key: key, holder: holder, ttl: ttl, now: now, resting: now().Add(ttl + holdOff)}
+// NewLease returns the lease kept at key, for the node holder. Unless it is
+// the first start of the system, this machine may have acted just before.
+func NewLease(store Store, key, holder string, ttl time.Duration, first bool, now func() time.Time) *Lease {
+	l := &Lease{store: store, key: key, holder: holder, ttl: ttl, now: now}
+	if !first {
+		l.resting = now().Add(ttl + holdOff)
+	}
+	return l
 }
 
 // Term returns the present term if this node may begin a call now.
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,7 +15,8 @@
 // Times and bounds of connections to servers.
 const (
 	serverDial      = 400 * time.Millisecond
-	serverIdle      = 3 * time.Second // servers close idle connections after a few seconds
+	serverIdle      = 3 * time.Second         // for servers that have not told how long they keep idle connections
+	serverIdleEarly = 1500 * time.Millisecond // before a server closes an idle connection
 	idlePerServer   = 64
 	ejectFirst      = 500 * time.Millisecond
 	ejectMost       = 4 * time.Second
@@ -25,6 +28,7 @@
 type server struct {
 	traffic.Server
 	client    *http.Transport
+	idle      time.Duration // after which its connections are given up
 	leaving   bool
 	requests  int   // of this node, in progress
 	unread    int64 // prompt tokens of this node's requests without a first event
@@ -45,12 +49,13 @@
 type fleet struct {
 	mu      sync.Mutex
 	servers map[string]*server
-	left    []string // ids of servers seen leaving, newest last
+	left    []string                 // ids of servers seen leaving, newest last
+	idle    map[string]time.Duration // by service, as learned from answers
 	now     func() time.Time
 }
 
 func newFleet(now func() time.Time) *fleet {
-	return &fleet{servers: map[string]*server{}, now: now}
+	return &fleet{servers: map[string]*server{}, idle: map[string]time.Duration{}, now: now}
 }
 
 // set takes in the servers that are listed; the others are gone.
@@ -62,7 +67,8 @@
 		listed[s.ID] = true
 		known := f.servers[s.ID]
 		if known == nil {
-			known = &server{client: newServerTransport()}
+			idle := f.idle[s.Service]
+			known = &server{client: newServerTransport(idle), idle: idle}
 			f.servers[s.ID] = known
 		}
 		known.Server = s
@@ -76,10 +82,37 @@
 	}
 }
 
-func newServerTransport() *http.Transport {
+// keeps notes how long a server keeps idle connections, as its answer told.
+func (f *fleet) keeps(s *server, header http.Header) {
+	text, ok := strings.CutPrefix(header.Get("Keep-Alive"), "timeout=")
+	told, err := strconv.Atoi(text)
+	if !ok || err != nil {
+		return
+	}
+	idle := max(time.Duration(told)*time.Second-serverIdleEarly, time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.idle[s.Service] = idle
+	if s.idle != idle {
+		// The old client's connections end by its own, shorter time.
+		s.client, s.idle = newServerTransport(idle), idle
+	}
+}
+
+// transport is the server's client as it stands.
+func (f *fleet) transport(s *server) *http.Transport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.client
+}
+
+func newServerTransport(idle time.Duration) *http.Transport {
+	if idle == 0 {
+		idle = serverIdle
+	}
 	dialer := &net.Dialer{Timeout: serverDial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: serverIdle,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idle,
 		DisableCompression: true, MaxResponseHeaderBytes: 64 << 10,
 	}
 }
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -84,14 +84,14 @@
 	now := time.Now()
 	n := &Node{
 		set: set, platform: p, store: p.Store(), headers: p.Headers(), view: view.New(), fleet: newFleet(time.Now),
-		members: cluster.NewMembers(set.Node, time.Now), quota: admit.NewSharedLimiter(now),
+		members: cluster.NewMembers(set.Node, time.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(set.Quota)),
 		budget: request.NewWindowBudget(set.Retries.Ratio, set.Retries.Extra, set.Retries.Window),
 		ledger: duty.NewLedger(), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
 	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds}
 	n.peers.Start()
-	n.lease = duty.NewLease(n.store, leaseKey, set.Node, set.Duties.Lease, time.Now)
+	n.lease = duty.NewLease(n.store, leaseKey, set.Node, set.Duties.Lease, set.FirstStart, time.Now)
 	n.report = &duty.Usage{
 		Ledger: n.ledger, Lease: n.lease, Store: n.store, Sender: p, Prefix: usagePrefix,
 		Window: set.Duties.UsageWindow, Late: set.Duties.UsageLate, Clock: n.agreed,
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -63,7 +63,7 @@
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	request := n.outgoing(ctx, a, s, lastEvent)
-	answer, err := s.client.RoundTrip(request)
+	answer, err := n.fleet.transport(s).RoundTrip(request)
 	if err != nil {
 		cancel()
 		if !connected.Load() {
@@ -71,6 +71,7 @@
 		}
 		return sent{fate: unknown, err: err, cancel: cancel}
 	}
+	n.fleet.keeps(s, answer.Header)
 	id := answer.Header.Get(n.headers.RequestID)
 	declined := answer.Header.Get(n.headers.NotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest
 	switch {
--- a/src/gateway/settings.go
+++ b/src/gateway/settings.go
@@ -24,6 +24,7 @@
 	Retries       RetryLimits
 	Duties        DutyLimits
 	Quota         QuotaLimits
+	FirstStart    bool   // no node of the system has run before
 	Store         string // address of the key-value service
 	Cloud         string // address of the cloud; empty where there is none
 }
@@ -45,7 +46,8 @@
 
 // QuotaLimits tell how far customers' limits may be exceeded.
 type QuotaLimits struct {
-	Window time.Duration
+	Overage float64 // part of the limit
+	Slack   float64 // beyond it, in a window
 }
 
 // DutyLimits are the bounds of what one node at a time does.
