Cut a watch that has gone deaf; plan servers from demand

Ruled out: back-off of the watch (made shorter all the same), peers' exchange. The view now knows how far its own watch has shown everything and cuts it when peers or a read have shown more.

--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -16,14 +16,15 @@
 // Tolerance is by how much a limit may be exceeded over a window; a part of
 // it is used, the rest covers what is admitted before the nodes know of it.
 type Tolerance struct {
-	Overage float64 // part of the limit
-	Slack   float64 // beyond it
+	Window time.Duration // in which the burst may be used once
+	Slack  float64       // beyond rate and burst, in a window
 }
 
 // Parts of the tolerance that the buckets use.
 const (
-	overageUsed = 0.4
-	slackUsed   = 0.5
+	depthPart = 0.5  // of the burst; the rest comes back over the window
+	slackUsed = 0.25 // of the slack
+	smallPart = 0.01 // of a second's limit, up to which a request counts as small
 )
 
 // SharedLimiter holds each customer to one limit over all nodes. Every node
@@ -121,13 +122,17 @@
 func (l *SharedLimiter) Take(customer string, cost, rate, burst float64, now time.Time) (ok bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rate *= 1 + l.over.Overage*overageUsed
-	burst += burst*l.over.Overage*overageUsed + l.over.Slack*slackUsed
+	rate += burst * (1 - depthPart) / l.over.Window.Seconds()
+	burst = burst*depthPart + l.over.Slack*slackUsed
 	bucket := l.refill(customer, rate, burst, now)
 	// The others are taken to have admitted as much unseen as this node has.
 	level := bucket.level - bucket.unseen*float64(l.nodes-1)
 	// A request larger than the whole burst passes when the bucket is full.
 	need := min(cost, burst)
+	if cost < rate*smallPart {
+		// Many small requests weigh little: they go before a few large ones.
+		need = -l.over.Slack * slackUsed
+	}
 	if level < need {
 		return false, time.Duration((need - level) / rate * float64(time.Second))
 	}
--- a/src/gateway/ask.go
+++ b/src/gateway/ask.go
@@ -169,3 +169,11 @@
 	}
 	return float64(a.customer.PlainTokens)
 }
+
+// unshared is the tokens of the prompt that no other request shares.
+func (a *ask) unshared() int64 {
+	if len(a.parts) == 0 {
+		return a.tokensIn
+	}
+	return a.parts[len(a.parts)-1].tokens
+}
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -242,3 +242,14 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
+
+// running is how many requests all nodes have at a server.
+func (f *fleet) running(id string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	if s == nil {
+		return 0
+	}
+	return float64(s.requests + s.elsewhere.requests)
+}
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -42,6 +42,9 @@
 	defer cancel()
 	f := &flight{n: n, a: a, reply: &reply{writer: w}, avoid: map[string]bool{}}
 	n.budget.Earn(a.service, a.arrived)
+	if unshared := a.unshared(); unshared > 0 {
+		n.scaler.meter(a.service).Ask(unshared, a.arrived)
+	}
 	for {
 		s, ok := n.choose(a, f.avoid)
 		if !ok {
@@ -89,6 +92,7 @@
 	defer n.fleet.end(s)
 	defer f.firstEvent(s)
 	lastEvent := f.reply.lastEvent
+	began := time.Now()
 	sent := n.send(ctx, a, s, lastEvent)
 	defer sent.cancel()
 	switch sent.fate {
@@ -113,7 +117,13 @@
 	f.runs++
 	defer func() { _ = sent.answer.Body.Close() }()
 	if isEventStream(sent.answer) {
-		err = f.reply.stream(sent.answer, n.stopping(), func() { f.firstEvent(s); f.ran() })
+		err = f.reply.stream(sent.answer, n.stopping(), func() {
+			if f.unread != 0 {
+				n.scaler.meter(a.service).Read(a.unshared(), time.Since(began), time.Now())
+			}
+			f.firstEvent(s)
+			f.ran()
+		})
 	} else {
 		f.ran()
 		done, err = f.plain(sent.answer, s)
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -41,7 +41,8 @@
 const (
 	stepEvery      = 250 * time.Millisecond
 	backstopEvery  = 3 * time.Second
-	refuseAfter    = 3 * time.Second // from the signal to stop; new requests are refused then
+	backstopGrace  = 700 * time.Millisecond // in which a watch shows what a read has seen
+	refuseAfter    = 3 * time.Second        // from the signal to stop; new requests are refused then
 	stopMargin     = 400 * time.Millisecond
 	idleConnection = 2 * time.Minute
 	headerTimeout  = 30 * time.Second
@@ -68,6 +69,7 @@
 	lease   *duty.Lease
 	report  *duty.Usage
 	buyer   *capacity.Buyer
+	scaler  *scaler
 
 	began    time.Time
 	sequence atomic.Int64
@@ -86,7 +88,7 @@
 		set: set, platform: p, store: p.Store(), headers: p.Headers(), view: view.New(), fleet: newFleet(time.Now),
 		members: cluster.NewMembers(set.Node, time.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(set.Quota)),
 		budget: request.NewWindowBudget(set.Retries.Ratio, set.Retries.Extra, set.Retries.Window),
-		ledger: duty.NewLedger(), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		ledger: duty.NewLedger(), scaler: newScaler(), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
 	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds}
@@ -117,6 +119,7 @@
 	go n.applyLoop(work)
 	go process.Every(work, stepEvery, n.spread)
 	go n.backstopLoop(work)
+	go n.deafLoop(work)
 	go n.registerLoop(work)
 	if n.set.Duties.Usage || n.set.Duties.Scale {
 		go n.dutyLoop(work)
--- a/src/gateway/settings.go
+++ b/src/gateway/settings.go
@@ -46,8 +46,8 @@
 
 // QuotaLimits tell how far customers' limits may be exceeded.
 type QuotaLimits struct {
-	Overage float64 // part of the limit
-	Slack   float64 // beyond it, in a window
+	Window time.Duration // in which the burst may be used once
+	Slack  float64       // beyond rate and burst, in a window
 }
 
 // DutyLimits are the bounds of what one node at a time does.
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -4,16 +4,13 @@
 	"context"
 	"encoding/json"
 	"log"
-	"maps"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
 
-	"github.com/crankridge/crankridge/src/capacity"
 	"github.com/crankridge/crankridge/src/cluster"
 	"github.com/crankridge/crankridge/src/process"
 	"github.com/crankridge/crankridge/src/traffic"
@@ -49,6 +46,7 @@
 	for id, load := range n.fleet.loads() {
 		r.Loads = append(r.Loads, &cluster.Load{Server: id, Requests: int32(load.requests), UnreadTokens: load.unread})
 	}
+	r.Demands = n.scaler.demands(time.Now())
 	return r
 }
 
@@ -128,29 +126,49 @@
 	klog.InfoS("configuration", "version", c.Version, "revision", revision, "routes", len(c.Routes), "source", source)
 }
 
-// backstopLoop reads the configuration now and then, in case a watch has
-// gone deaf: what a list finds newer is taken in by the view.
+// backstopLoop asks the store now and then how far it is, in case a watch has
+// gone deaf: what is missing is listed.
 func (n *Node) backstopLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
+		if !pause(ctx, backstopEvery+rand.N(backstopEvery/4)) {
 			return
-		case <-time.After(backstopEvery + rand.N(backstopEvery/4)):
 		}
-		it, found, _, err := n.store.Get(ctx, n.platform.ConfigKey())
-		if err != nil || !found {
+		it, _, at, err := n.store.Get(ctx, n.platform.ConfigKey())
+		if err != nil || !pause(ctx, backstopGrace) {
 			continue
 		}
-		if have, ok := n.view.Get(it.Key); ok && have.Revision >= it.Revision {
+		complete, _ := n.view.Complete()
+		have, _ := n.view.Get(it.Key)
+		if complete >= at && have.Revision >= it.Revision {
 			continue
 		}
-		klog.InfoS("watch_deaf", "revision", it.Revision)
+		klog.InfoS("watch_deaf", "complete", complete, "store", at)
 		if items, revision, err := n.store.List(ctx, ""); err == nil {
 			n.view.ApplyList(items, revision)
 		}
 	}
 }
 
+// deafLoop cuts a watch that does not show what peers or a read have shown.
+func (n *Node) deafLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		before, _ := n.view.Complete()
+		if pause(ctx, backstopGrace) && n.view.CutIfDeaf(before) {
+			klog.InfoS("watch_cut", "complete", before)
+		}
+	}
+}
+
+// pause waits; it returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // registerLoop stores where this node is found, once the store lets it.
 func (n *Node) registerLoop(ctx context.Context) {
 	raw, err := json.Marshal(nodeEntry{Peers: n.set.Listen.Peers})
@@ -199,28 +217,6 @@
 	}
 }
 
-// scaleStep orders servers for every service that can be scaled.
-func (n *Node) scaleStep(ctx context.Context) {
-	table := n.table.Load()
-	if table == nil {
-		return
-	}
-	for _, name := range slices.Sorted(maps.Keys(table.Config.Services)) {
-		service := table.Config.Services[name]
-		if service.Scaling == nil {
-			continue
-		}
-		supply := capacity.SupplyOf(n.fleet.list(name))
-		orders := capacity.Plan(name, *service.Scaling, n.need(service), supply)
-		n.buyer.Step(ctx, *service.Scaling, orders, supply)
-	}
-}
-
-// need is how many servers of a service each failure domain shall have.
-func (n *Node) need(traffic.Service) capacity.Need {
-	return capacity.Need{Total: 5, Floor: 1}
-}
-
 func (n *Node) usageStep(ctx context.Context) {
 	for _, m := range n.members.All() {
 		for _, u := range m.Record.Usage {
--- a/src/view/follow.go
+++ b/src/view/follow.go
@@ -13,7 +13,7 @@
 
 const (
 	retryFirst = 100 * time.Millisecond
-	retryMost  = 3 * time.Second
+	retryMost  = 800 * time.Millisecond
 )
 
 // Watchable is a key-value service that can be listed and watched.
@@ -36,6 +36,9 @@
 			return
 		}
 		klog.V(1).InfoS("view_follow", "err", err)
+		if errors.Is(err, ports.ErrCompacted) || errors.Is(err, context.Canceled) {
+			continue // what was missed is fetched at once
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait.NextBackOff()):
@@ -55,12 +58,41 @@
 	// Peers may have moved the view past what this watch saw; starting at the
 	// complete revision is right in both cases.
 	from, _ := v.Complete()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	v.watching(from, cancel)
 	err := kv.Watch(ctx, prefix, from+1, func(b ports.Batch) {
 		well()
 		v.ApplyBatch(b)
+		v.watching(b.Revision, cancel)
 	})
 	if errors.Is(err, ports.ErrCompacted) {
 		*list = true
 	}
 	return err
 }
+
+// watching notes how far the view's own watch has shown everything.
+func (v *View) watching(upTo int64, cancel context.CancelFunc) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.watched, v.cutWatch = upTo, cancel
+}
+
+// CutIfDeaf ends the view's own watch when it has not shown what the view has
+// held since before: the changes came by another way, so the watch is deaf. A
+// new one begins at once. It takes the complete revision of an earlier look
+// and reports whether the watch was cut.
+func (v *View) CutIfDeaf(before int64) bool {
+	v.mu.Lock()
+	cut := v.cutWatch
+	deaf := cut != nil && v.watched < before
+	if deaf {
+		v.cutWatch = nil
+	}
+	v.mu.Unlock()
+	if deaf {
+		cut()
+	}
+	return deaf
+}
--- a/src/view/view.go
+++ b/src/view/view.go
@@ -7,6 +7,7 @@
 package view
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"strings"
@@ -38,6 +39,9 @@
 	removed int // removals remembered
 	source  Source
 	changed chan struct{}
+	// watched is how far the own watch has shown everything; cutWatch ends it.
+	watched  int64
+	cutWatch context.CancelFunc
 
 	// log keeps the last changes for those who follow them one by one; it is
 	// whole from revision floor on.
