Plan servers from the measured demand

The need is unshared prompt tokens a second over a part of the measured rate at which engines read; a fifth of it on demand, a quarter more reclaimable ones.

--- a/src/capacity/demand.go
+++ b/src/capacity/demand.go
@@ -11,9 +11,10 @@
 	rateHalfLife   = 3 * time.Second  // of the measured rate of prompt tokens
 	peakFor        = 20 * time.Second // for which the highest demand is held
 	stepServers    = 2                // demand counts in steps of so many servers
-	readUsed       = 0.15             // of an engine's rate of reading that is planned for
+	readUsed       = 0.3             // of an engine's rate of reading that is planned for
 	slotsUsed      = 0.4              // of an engine's places that are planned for
-	rateHalfFade   = 2 * time.Minute  // in which a measured rate of reading fades by half
+	readQuantile   = 0.7              // of the samples that lie below the measured rate of reading
+	readStep       = 0.1              // part by which one sample moves it, at most
 	sampleTokens   = 1500             // a shorter prompt tells little of the rate of reading
 	defaultReading = 50000.0          // tokens a second, before any was measured
 )
@@ -23,8 +24,7 @@
 	mu      sync.Mutex
 	tokens  float64 // a second, decaying
 	at      time.Time
-	reading float64 // highest rate at which an engine read a prompt, tokens a second
-	readAt  time.Time
+	reading float64 // quantile of the rate at which engines read prompts, tokens a second
 }
 
 // Ask counts a prompt's tokens that no other request shares.
@@ -35,16 +35,24 @@
 	m.at = now
 }
 
-// Read notes how long an engine took to the first event of a prompt.
-func (m *Meter) Read(tokens int64, took time.Duration, now time.Time) {
+// Read notes how long an engine took to the first event of a prompt. The
+// measured rate follows a high quantile: a prompt that waited tells too low a
+// rate, one that was kept in memory too high a one.
+func (m *Meter) Read(tokens int64, took time.Duration) {
 	if tokens < sampleTokens || took <= 0 {
 		return
 	}
 	rate := float64(tokens) / took.Seconds()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reading = max(fade(m.reading, now.Sub(m.readAt), rateHalfFade), rate)
-	m.readAt = now
+	if m.reading == 0 {
+		m.reading = defaultReading
+	}
+	if rate > m.reading {
+		m.reading *= 1 + readStep*readQuantile
+	} else {
+		m.reading *= 1 - readStep*(1-readQuantile)
+	}
 }
 
 // Tokens is the rate of unshared prompt tokens asked for, a second.
@@ -54,11 +62,11 @@
 	return fade(m.tokens, now.Sub(m.at), rateHalfLife)
 }
 
-// Reading is the highest measured rate of reading, tokens a second; 0 before any.
-func (m *Meter) Reading(now time.Time) float64 {
+// Reading is the measured rate of reading, tokens a second; 0 before any.
+func (m *Meter) Reading() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return fade(m.reading, now.Sub(m.readAt), rateHalfFade)
+	return m.reading
 }
 
 func fade(value float64, passed, half time.Duration) float64 {
--- a/src/capacity/plan.go
+++ b/src/capacity/plan.go
@@ -41,6 +41,21 @@
 	return out
 }
 
+// Standing is the need that the servers that are there were bought for. At the
+// first start of the system they were not bought by a plan.
+func Standing(servers []traffic.Server, first bool) int {
+	serving := 0
+	for _, s := range servers {
+		if !s.Draining {
+			serving++
+		}
+	}
+	if first {
+		return serving
+	}
+	return int(float64(serving) / (1 + hedgePart))
+}
+
 // Need is how many servers a service shall have in all.
 type Need struct {
 	Servers int
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -119,7 +119,7 @@
 	if isEventStream(sent.answer) {
 		err = f.reply.stream(sent.answer, n.stopping(), func() {
 			if f.unread != 0 {
-				n.scaler.meter(a.service).Read(a.unshared(), time.Since(began), time.Now())
+				n.scaler.meter(a.service).Read(a.unshared(), time.Since(began))
 			}
 			f.firstEvent(s)
 			f.ran()
--- a/src/gateway/scale.go
+++ b/src/gateway/scale.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/crankridge/crankridge/src/capacity"
 	"github.com/crankridge/crankridge/src/cluster"
 	"github.com/crankridge/crankridge/src/traffic"
@@ -48,7 +50,7 @@
 	defer s.mu.Unlock()
 	var out []*cluster.Demand
 	for service, m := range s.meters {
-		out = append(out, &cluster.Demand{Service: service, Tokens: float32(m.Tokens(now)), Reading: float32(m.Reading(now))})
+		out = append(out, &cluster.Demand{Service: service, Tokens: float32(m.Tokens(now)), Reading: float32(m.Reading())})
 	}
 	return out
 }
@@ -78,7 +80,7 @@
 // there is any, it is what was there at first.
 func (n *Node) need(service traffic.Service, servers []traffic.Server) capacity.Need {
 	now := time.Now()
-	var tokens, reading, running float64
+	var tokens, reading, running, measured float64
 	for _, m := range n.members.All() {
 		if now.Sub(m.Heard) > loadsFor {
 			continue
@@ -86,10 +88,16 @@
 		for _, d := range m.Record.Demands {
 			if d.Service == service.Name {
 				tokens += float64(d.Tokens)
-				reading = max(reading, float64(d.Reading))
+				if d.Reading > 0 {
+					reading += float64(d.Reading)
+					measured++
+				}
 			}
 		}
 	}
+	if measured > 0 {
+		reading /= measured
+	}
 	for _, s := range servers {
 		running += n.fleet.running(s.ID)
 	}
@@ -104,10 +112,11 @@
 		peak = &capacity.Peak{}
 		n.scaler.peaks[service.Name] = peak
 	}
+	klog.V(1).InfoS("demand", "service", service.Name, "tokens", tokens, "reading", reading, "running", running)
 	wanted := capacity.Servers(tokens, running, slots, reading)
 	if wanted == 0 || !n.scaler.asked[service.Name] {
 		// What is there stays for a while: the demand shows only with time.
-		n.scaler.listed[service.Name] = max(n.scaler.listed[service.Name], len(servers))
+		n.scaler.listed[service.Name] = max(n.scaler.listed[service.Name], capacity.Standing(servers, n.set.FirstStart))
 		peak.Raise(n.scaler.listed[service.Name], now)
 	}
 	n.scaler.asked[service.Name] = wanted > 0
