--- a/cmd/crank-gateway/main.go
+++ b/cmd/crank-gateway/main.go
@@ -16,5 +16,9 @@
 }
 
 func run(ctx context.Context, set gateway.Settings) error {
-	return gateway.New(set, platform.New(set)).Run(ctx)
+	node, err := gateway.New(set, platform.New(set))
+	if err != nil {
+		return err
+	}
+	return node.Run(ctx)
 }
--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -36,7 +36,7 @@
 	began   time.Time
 	buckets map[string]*sharedBucket
 	admit   map[string]float64 // own running sums by customer
-	peers   map[string]*peerTotals
+	peers   map[string]*peerTotals // those that count; heard is zero before they told anything
 	nodes   int
 	over    Tolerance
 }
@@ -76,6 +76,11 @@
 			delete(l.peers, name)
 		}
 	}
+	for name := range keep {
+		if l.peers[name] == nil {
+			l.peers[name] = &peerTotals{assumed: map[string]float64{}}
+		}
+	}
 }
 
 // Heard takes in a node's running sums.
@@ -83,7 +88,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	peer := l.peers[node]
-	if peer == nil {
+	if peer == nil || peer.heard.IsZero() {
 		// What it admitted before this node knew of it is not this bucket's to pay.
 		l.peers[node] = &peerTotals{incarnation: incarnation, totals: totals, heard: now, assumed: map[string]float64{}}
 		return
@@ -148,6 +153,7 @@
 	defer l.mu.Unlock()
 	if bucket := l.buckets[customer]; bucket != nil {
 		bucket.level += cost
+		bucket.unseen = max(bucket.unseen-cost, 0)
 		l.admit[customer] -= cost
 	}
 }
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -56,6 +57,7 @@
 		done, err := f.try(ctx, s)
 		if done {
 			f.log("answered", s.ID, err)
+			n.metrics.Answered(a.route.Name, strconv.Itoa(f.reply.status), time.Since(a.arrived))
 			return nil
 		}
 		f.log("failed", s.ID, err)
@@ -94,6 +96,7 @@
 	lastEvent := f.reply.lastEvent
 	began := time.Now()
 	sent := n.send(ctx, a, s, lastEvent)
+	n.metrics.Sent(a.service, sent.fate.String())
 	defer sent.cancel()
 	switch sent.fate {
 	case notSent:
@@ -120,6 +123,7 @@
 		err = f.reply.stream(sent.answer, n.stopping(), func() {
 			if f.unread != 0 {
 				n.scaler.meter(a.service).Read(a.unshared(), time.Since(began))
+				n.metrics.FirstEvent(a.route.Name, time.Since(a.arrived))
 			}
 			f.firstEvent(s)
 			f.ran()
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -25,6 +25,7 @@
 	"github.com/crankridge/crankridge/src/duty"
 	"github.com/crankridge/crankridge/src/process"
 	"github.com/crankridge/crankridge/src/request"
+	"github.com/crankridge/crankridge/src/telemetry"
 	"github.com/crankridge/crankridge/src/traffic"
 	"github.com/crankridge/crankridge/src/view"
 )
@@ -79,16 +80,21 @@
 	rngMu    sync.Mutex
 	rng      *rand.Rand
 	servers  []*http.Server
+	metrics  *telemetry.Gateway
 }
 
 // New assembles a node.
-func New(set Settings, p Platform) *Node {
+func New(set Settings, p Platform) (*Node, error) {
+	metrics, err := telemetry.NewGateway()
+	if err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	n := &Node{
 		set: set, platform: p, store: p.Store(), headers: p.Headers(), view: view.New(), fleet: newFleet(time.Now),
 		members: cluster.NewMembers(set.Node, time.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(set.Quota)),
 		budget: request.NewWindowBudget(set.Retries.Ratio, set.Retries.Extra, set.Retries.Window),
-		ledger: duty.NewLedger(), scaler: newScaler(), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		ledger: duty.NewLedger(), metrics: metrics, scaler: newScaler(), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
 	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds}
@@ -99,7 +105,26 @@
 		Window: set.Duties.UsageWindow, Late: set.Duties.UsageLate, Clock: n.agreed,
 	}
 	n.buyer = &capacity.Buyer{Lease: n.lease, Sender: p, Now: time.Now}
-	return n
+	return n, n.gauges()
+}
+
+// gauges adds what is read from the node's state when metrics are asked for.
+func (n *Node) gauges() error {
+	return errors.Join(
+		n.metrics.Gauge("configuration_version", "version of the configuration in force", func() float64 { return float64(n.version()) }),
+		n.metrics.Gauge("revision", "revision of the store up to which nothing is missing", func() float64 {
+			complete, _ := n.view.Complete()
+			return float64(complete)
+		}),
+		n.metrics.Gauge("members", "nodes among which limits are divided", func() float64 { return float64(n.members.Count()) }),
+		n.metrics.Gauge("open_requests", "requests of clients in progress", func() float64 { return float64(n.open.Load()) }),
+		n.metrics.Gauge("duty_held", "1 while this node may act for the system", func() float64 {
+			if _, held := n.lease.Term(); held {
+				return 1
+			}
+			return 0
+		}),
+	)
 }
 
 func (n *Node) agreed() time.Time { return n.members.Agreed(time.Now()) }
@@ -142,6 +167,9 @@
 	}
 	on(n.set.Listen.Peers).PathPrefix(cluster.ClusterPathPrefix).Handler(n.peers.Handler())
 	on(n.set.Listen.Peers).HandleFunc("/debug/state", n.dump)
+	if n.set.Listen.Metrics != "" {
+		on(n.set.Listen.Metrics).Handle("/metrics", n.metrics.Handler())
+	}
 	if n.set.Listen.Ready != "" {
 		on(n.set.Listen.Ready).HandleFunc(n.platform.ReadinessPath(), n.readiness)
 	}
@@ -199,6 +227,7 @@
 
 // refuse gives the gateway's own answer.
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
+	n.metrics.Refused(f.code)
 	klog.InfoS("refused", "id", r.Header.Get(n.headers.RequestID), "status", f.status, "code", f.code, "wait_ms", f.wait.Milliseconds(), "version", n.version())
 	if f.wait > 0 {
 		seconds := math.Ceil(f.wait.Seconds()*1000) / 1000
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -62,7 +63,7 @@
 func (p *reply) whole(answer *http.Response, closing bool) error {
 	raw, err := io.ReadAll(io.LimitReader(answer.Body, bufferedMost))
 	if err != nil {
-		return errors.Join(errBroken, err)
+		return fmt.Errorf("%w: %w", errBroken, err)
 	}
 	if answer.ContentLength >= 0 && int64(len(raw)) < min(answer.ContentLength, bufferedMost) && answer.Request.Method != http.MethodHead {
 		return errBroken
@@ -106,7 +107,7 @@
 		case errors.Is(err, io.EOF):
 			return p.finish(answer, pending, closing)
 		case err != nil:
-			return errors.Join(errBroken, err)
+			return fmt.Errorf("%w: %w", errBroken, err)
 		}
 	}
 }
--- a/src/gateway/settings.go
+++ b/src/gateway/settings.go
@@ -35,6 +35,7 @@
 	Ready     string
 	Peers     string
 	Directory string
+	Metrics   string
 }
 
 // RetryLimits bound, over all nodes, what is sent more than once.
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -6,6 +6,7 @@
 	"log"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -50,12 +51,28 @@
 	return r
 }
 
+// Times for which what a node told counts.
+const (
+	loadsFor  = 3 * time.Second  // its load at servers
+	sharesFor = 20 * time.Second // its share of customers' limits
+	youngFor  = 10 * time.Second // a younger process also counts nodes that it knows by their entry alone
+)
+
 // spread takes in what the other nodes told.
 func (n *Node) spread() {
-	var counted []string
+	n.quota.SetNodes(n.sharers())
+	for _, m := range n.members.All() {
+		r := m.Record
+		if r.Node != n.set.Node {
+			totals := make(map[string]float64, len(r.Admitted))
+			for _, t := range r.Admitted {
+				totals[t.Name] = t.Total
+			}
+			n.quota.Heard(r.Node, r.Incarnation, totals, m.Heard)
+		}
+	}
 	elsewhere := map[string]remoteLoad{}
 	for _, r := range n.members.Others(loadsFor) {
-		counted = append(counted, r.Node)
 		for _, load := range r.Loads {
 			sum := elsewhere[load.Server]
 			sum.requests += int(load.Requests)
@@ -63,22 +80,26 @@
 			elsewhere[load.Server] = sum
 		}
 	}
-	n.quota.SetNodes(counted)
 	n.fleet.setElsewhere(elsewhere)
-	for _, m := range n.members.All() {
-		r := m.Record
-		if r.Node != n.set.Node {
-			totals := make(map[string]float64, len(r.Admitted))
-			for _, t := range r.Admitted {
-				totals[t.Name] = t.Total
-			}
-			n.quota.Heard(r.Node, r.Incarnation, totals, m.Heard)
+}
+
+// sharers are the other nodes among which customers' limits are divided.
+func (n *Node) sharers() []string {
+	var names []string
+	for _, r := range n.members.Others(sharesFor) {
+		names = append(names, r.Node)
+	}
+	if time.Since(n.began) > youngFor {
+		return names
+	}
+	for _, it := range n.view.List(nodePrefix) {
+		if name := strings.TrimPrefix(it.Key, nodePrefix); name != n.set.Node && !slices.Contains(names, name) {
+			names = append(names, name)
 		}
 	}
+	return names
 }
 
-const loadsFor = 10 * time.Second
-
 // applyLoop puts every change of the view in force.
 func (n *Node) applyLoop(ctx context.Context) {
 	for {
--- a/src/process/main.go
+++ b/src/process/main.go
@@ -9,9 +9,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"k8s.io/klog/v2"
+
+	"github.com/crankridge/crankridge/src/telemetry"
 )
 
 // Exit codes.
@@ -30,8 +33,8 @@
 func Main[T any](name, doc string, load func(path string) (T, error), run func(context.Context, T) error) {
 	var f flags
 	kong.Parse(&f, kong.Name(name), kong.Description(doc))
-	logTo(f.Verbose)
-	defer klog.Flush()
+	lines := logTo(f.Verbose)
+	defer flush(lines)
 	set, err := load(f.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -45,14 +48,37 @@
 	defer stop()
 	if err := run(ctx, set); err != nil {
 		klog.ErrorS(err, "failed", "process", name)
-		klog.Flush()
+		flush(lines)
 		os.Exit(exitFailed)
 	}
 }
 
-func logTo(level int) {
+// logTo sends the log to standard output by a writer that never blocks.
+func logTo(level int) *telemetry.LogWriter {
 	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(fs)
 	_ = fs.Set("v", fmt.Sprint(level))
-	_ = fs.Set("logtostderr", "true")
+	_ = fs.Set("logtostderr", "false")
+	_ = fs.Set("stderrthreshold", "FATAL")
+	_ = fs.Set("one_output", "true")
+	w := telemetry.NewLogWriter(os.Stdout)
+	klog.SetOutput(w)
+	return w
 }
+
+// flush writes what is left of the log, within flushMost.
+func flush(w *telemetry.LogWriter) {
+	klog.Flush()
+	done := make(chan struct{})
+	go func() {
+		w.Flush()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(flushMost):
+	}
+}
+
+// flushMost bounds the wait for a reader of the log that is slow.
+const flushMost = 200 * time.Millisecond
--- /dev/null
+++ b/test/gateway_bench_test.go
@@ -0,0 +1,177 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crankridge/crankridge/platform"
+	"github.com/crankridge/crankridge/platform/fake"
+	"github.com/crankridge/crankridge/src/gateway"
+)
+
+// gatewayBench is a platform of stand-ins with gateway nodes in this process.
+type gatewayBench struct {
+	t       *testing.T
+	is      *is.I
+	store   *fake.Store
+	cloud   *fake.Cloud
+	nodes   []*gatewayNode
+	version int
+	config  map[string]any
+}
+
+type gatewayNode struct {
+	set  gateway.Settings
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+const (
+	benchKey      = "key-of-one"
+	benchCustomer = "one"
+	benchHost     = "site.example"
+)
+
+func newGatewayBench(t *testing.T) *gatewayBench {
+	b := &gatewayBench{t: t, is: is.New(t), store: fake.NewStore(), cloud: fake.NewCloud()}
+	t.Cleanup(b.store.Close)
+	t.Cleanup(b.cloud.Close)
+	b.config = map[string]any{
+		"Routes": []any{
+			b.route("once", "/once/", "unsafe", "plain", 1, false),
+			b.route("repeat", "/repeat/", "safe", "plain", 2, false),
+			b.route("stream", "/stream/", "streaming", "plain", 1, false),
+			b.route("resume", "/resume/", "streaming", "plain", 2, true),
+		},
+		"Services": []any{map[string]any{"Name": "plain", "HealthCheckPath": "/health", "MaxConnections": 100}},
+		"Limits":   map[string]any{"MaxHeaderBytes": 4096, "MaxBodyBytes": 10000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Tenants":  []any{map[string]any{"Name": benchCustomer, "ApiKeys": []string{benchKey}}},
+	}
+	b.configure()
+	return b
+}
+
+func (b *gatewayBench) route(name, prefix, kind, service string, attempts int, resume bool) map[string]any {
+	return map[string]any{
+		"Name": name, "Host": benchHost, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": 1000, "TargetLatencyMs": 100,
+		"Service": service, "MaxAttempts": attempts, "Sticky": kind == "streaming", "Resumable": resume, "TargetGapMs": 500,
+	}
+}
+
+// configure writes the operator's configuration as a new version.
+func (b *gatewayBench) configure() {
+	b.version += 3
+	b.config["Version"] = b.version
+	b.store.Put("op/config", b.config)
+}
+
+// server starts a server of the service and lists it.
+func (b *gatewayBench) server(id string) *fake.Server {
+	s := fake.NewServer(id)
+	b.t.Cleanup(s.Close)
+	b.store.Put("servers/"+id, s.Entry("plain", "zone-1", "ready"))
+	return s
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start starts a node whose store is at the given address.
+func (b *gatewayBench) start(storeAddress string, seeds ...string) *gatewayNode {
+	text := fmt.Sprintf("NodeName=node-%d\nZone=zone-1\nRegion=here\nFirstStart=true\nSeedNodes=%s\n", len(b.nodes)+1, strings.Join(seeds, ","))
+	for _, name := range []string{"Front", "Ready", "Control", "Directory"} {
+		text += "ListenAddresses." + name + "=" + freeAddress(b.t) + "\n"
+	}
+	text += "PlatformSettings.Address=" + storeAddress + "\nCloudApi.Address=" + b.cloud.Address() + "\nCloudApi.Duties=usage_reporting\n" +
+		"Bounds.GracePeriodS=2\nBounds.LeaseMs=1000\nBounds.UsageWindowS=1\nBounds.UsageLateS=10\nBounds.RetryBudgetRatio=0.2\nBounds.ExtraRetries=50\nBounds.BudgetWindowS=10\n"
+	path := filepath.Join(b.t.TempDir(), "settings.conf")
+	b.is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	set, err := platform.Load(path)
+	b.is.NoErr(err)
+	node, err := gateway.New(set, platform.New(set))
+	b.is.NoErr(err)
+	ctx, stop := context.WithCancel(context.Background())
+	n := &gatewayNode{set: set, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(n.done)
+		_ = node.Run(ctx)
+	}()
+	b.nodes = append(b.nodes, n)
+	b.t.Cleanup(func() { stop(); <-n.done })
+	b.eventually("node ready", func() bool {
+		resp, err := http.Get("http://" + set.Listen.Ready + "/-/readiness")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		return resp.StatusCode == http.StatusOK
+	})
+	return n
+}
+
+func (b *gatewayBench) eventually(what string, holds func() bool) {
+	b.t.Helper()
+	end := time.Now().Add(10 * time.Second)
+	for !holds() {
+		if time.Now().After(end) {
+			b.t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// gatewayAsk is a request of a client.
+type gatewayAsk struct {
+	method, path, id, body string
+	header                 map[string]string
+}
+
+// gatewayAnswer is what a client got; err is set when the answer did not end.
+type gatewayAnswer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	took   time.Duration
+}
+
+func (n *gatewayNode) ask(a gatewayAsk) gatewayAnswer {
+	req, _ := http.NewRequest(a.method, "http://"+n.set.Listen.Callers+a.path, strings.NewReader(a.body))
+	req.Host = benchHost
+	req.Header.Set("Request-Id", a.id)
+	req.Header.Set("Authorization", "Bearer "+benchKey)
+	for name, value := range a.header {
+		req.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	began := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return gatewayAnswer{err: err, took: time.Since(began)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return gatewayAnswer{resp.StatusCode, resp.Header, string(raw), err, time.Since(began)}
+}
+
+func (b *gatewayBench) listed(n *gatewayNode, id string) {
+	b.eventually("requests are served", func() bool {
+		return n.ask(gatewayAsk{method: http.MethodGet, path: "/repeat/probe", id: id}).status == http.StatusOK
+	})
+}
--- /dev/null
+++ b/test/gateway_test.go
@@ -0,0 +1,333 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crankridge/crankridge/platform/fake"
+)
+
+// runsOf counts the runs of a request at a server.
+func runsOf(s *fake.Server, id string) int {
+	count := 0
+	for _, run := range s.Runs() {
+		if run.ID == id {
+			count++
+		}
+	}
+	return count
+}
+
+func TestGatewayPassesARequestOnUnchanged(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	s := b.server("i-1")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	got := n.ask(gatewayAsk{method: http.MethodPost, path: "/once/a%2Fb?x=1&y=%20", id: "r1", body: "bytes", header: map[string]string{"Deadline-Ms": "700", "Tenant": "forged"}})
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body, "answer of i-1")
+	is.Equal(got.header.Get("Server-Stamp"), "i-1")
+	is.Equal(got.header.Get("Request-Id"), "r1")
+	run := s.Runs()[len(s.Runs())-1]
+	is.Equal(run.Path, "/once/a%2Fb?x=1&y=%20")
+	is.Equal(run.Body, "bytes")
+	is.Equal(run.Customer, benchCustomer) // not what the client said
+	is.Equal(run.Key, "")                 // the key stays here
+	left := 0
+	_, err := fmt.Sscan(run.Deadline, &left)
+	is.NoErr(err)
+	is.True(left <= 700 && left > 500)
+}
+
+func TestGatewayRefusesBadInput(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	s := b.server("i-1")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	before := len(s.Runs())
+	status := func(a gatewayAsk) int { return n.ask(a).status }
+	is.Equal(status(gatewayAsk{method: "GET", path: "/none/", id: "a"}), http.StatusNotFound)
+	is.Equal(status(gatewayAsk{method: "GET", path: "/once/", id: "a", header: map[string]string{"Authorization": "Bearer wrong"}}), http.StatusUnauthorized)
+	is.Equal(status(gatewayAsk{method: "GET", path: "/once/", id: ""}), http.StatusBadRequest)
+	is.Equal(status(gatewayAsk{method: "POST", path: "/once/", id: "a", body: strings.Repeat("x", 10001)}), http.StatusRequestEntityTooLarge)
+	is.Equal(status(gatewayAsk{method: "GET", path: "/once/", id: "a", header: map[string]string{"Filler": strings.Repeat("x", 5000)}}), http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(len(s.Runs()), before) // nothing ran
+}
+
+func TestGatewayRunsNothingOfABodyCutHalfWay(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	s := b.server("i-1")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	conn, err := net.Dial("tcp", n.set.Listen.Callers)
+	is.NoErr(err)
+	_, _ = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: cut\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", benchHost, benchKey)
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	raw, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(raw), "HTTP/1.1 400 "))
+	is.Equal(runsOf(s, "cut"), 0)
+}
+
+func TestGatewayRetriesWhatHasNotRun(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	first, second := b.server("i-1"), b.server("i-2")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	for _, manner := range []fake.Manner{fake.Full, fake.Elsewhere} {
+		first.Behave(manner)
+		for i := range 6 {
+			id := fmt.Sprintf("%s-%d", manner, i)
+			is.Equal(n.ask(gatewayAsk{method: "POST", path: "/once/x", id: id, body: "b"}).status, http.StatusOK)
+			is.Equal(runsOf(second, id), 1)
+		}
+	}
+	second.Behave(fake.Full)
+	got := n.ask(gatewayAsk{method: "POST", path: "/once/x", id: "full", body: "b"})
+	is.Equal(got.status, http.StatusServiceUnavailable) // nobody ran it, and it may come back
+	is.True(got.header.Get("Retry-After") != "")
+}
+
+func TestGatewaySendsOnceWhatMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	servers := []*fake.Server{b.server("i-1"), b.server("i-2")}
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	for _, manner := range []fake.Manner{fake.Resetting, fake.OtherID} {
+		for _, s := range servers {
+			s.Behave(manner)
+		}
+		id := "once-" + string(manner)
+		got := n.ask(gatewayAsk{method: "POST", path: "/once/x", id: id, body: "b"})
+		is.Equal(got.status, http.StatusBadGateway) // no promise that it has not run
+		is.Equal(got.header.Get("Server-Stamp"), "")
+		is.Equal(runsOf(servers[0], id)+runsOf(servers[1], id), 1)
+	}
+}
+
+func TestGatewayRepeatsWhatMayRunAgain(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	servers := []*fake.Server{b.server("i-1"), b.server("i-2")}
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	for _, manner := range []fake.Manner{fake.Resetting, fake.Failing, fake.OtherID} {
+		servers[0].Behave(manner)
+		for i := range 4 {
+			got := n.ask(gatewayAsk{method: "GET", path: "/repeat/x", id: fmt.Sprintf("%s-%d", manner, i)})
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, "answer of i-2")
+		}
+	}
+	servers[1].Behave(fake.Failing)
+	got := n.ask(gatewayAsk{method: "GET", path: "/repeat/x", id: "both"})
+	is.Equal(got.status, http.StatusInternalServerError) // the servers' own answer, whole
+	is.True(got.header.Get("Server-Stamp") != "")
+	is.Equal(runsOf(servers[0], "both")+runsOf(servers[1], "both"), 2)
+}
+
+func TestGatewayAnswersAtTheTimeLimitAndEndsTheWork(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	s := b.server("i-1")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	s.Behave(fake.Mute)
+	got := n.ask(gatewayAsk{method: "POST", path: "/once/x", id: "slow", body: "b"})
+	is.Equal(got.status, http.StatusGatewayTimeout)
+	is.True(got.took >= 900*time.Millisecond && got.took < 1400*time.Millisecond)
+	b.eventually("the server is told", func() bool { return s.Gone() == 1 })
+}
+
+const streamHeader = "a:10,b:20"
+
+func TestGatewayPassesStreamsOn(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	b.server("i-1")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	got := n.ask(gatewayAsk{method: "POST", path: "/stream/x", id: "s", body: "b", header: map[string]string{"Prompt-Prefix": streamHeader}})
+	is.NoErr(got.err)
+	is.Equal(strings.Count(got.body, "data: piece-"), fake.StreamEvents)
+}
+
+func TestGatewayResumesAStreamOnceInOrder(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	broken, sound := b.server("i-1"), b.server("i-2")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	broken.Behave(fake.HalfStream)
+	resumed := 0
+	for i := range 8 {
+		header := map[string]string{"Prompt-Prefix": fmt.Sprintf("a:10,b%d:20,c:30", i)}
+		got := n.ask(gatewayAsk{method: "POST", path: "/resume/x", id: fmt.Sprint("s", i), body: "b", header: header})
+		is.NoErr(got.err)
+		want := ""
+		for event := 1; event <= fake.StreamEvents; event++ {
+			want += fmt.Sprintf("id: %d\ndata: piece-%d\n\n", event, event)
+		}
+		is.Equal(got.body, want)
+		if got.header.Get("Server-Stamp") == "i-1" {
+			resumed++
+			is.Equal(sound.Runs()[len(sound.Runs())-1].LastEvent, "2")
+		}
+	}
+	is.True(resumed > 0)
+}
+
+func TestGatewayNeverLetsABrokenStreamLookWhole(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	s := b.server("i-1")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	s.Behave(fake.HalfStream)
+	got := n.ask(gatewayAsk{method: "POST", path: "/stream/x", id: "s", body: "b", header: map[string]string{"Prompt-Prefix": streamHeader}})
+	is.True(got.err != nil)
+	is.Equal(runsOf(s, "s"), 1)
+}
+
+func TestGatewayObeysConfigurationAndLeavingServers(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	first, second := b.server("i-1"), b.server("i-2")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	b.store.Put("servers/i-1", first.Entry("plain", "zone-1", "draining"))
+	time.Sleep(time.Second)
+	b.store.Put("servers/i-1", first.Entry("plain", "zone-1", "ready")) // what was seen leaving never comes back
+	time.Sleep(time.Second)
+	before := len(first.Runs())
+	for i := range 6 {
+		is.Equal(n.ask(gatewayAsk{method: "POST", path: "/once/x", id: fmt.Sprint("l", i), body: "b"}).status, http.StatusOK)
+	}
+	is.Equal(len(first.Runs()), before)
+	is.True(len(second.Runs()) >= 6)
+	b.config["Tenants"] = []any{map[string]any{"Name": "two", "ApiKeys": []string{"key-of-two"}}}
+	b.configure()
+	b.eventually("the key is taken away", func() bool {
+		return n.ask(gatewayAsk{method: "GET", path: "/once/x", id: "k"}).status == http.StatusUnauthorized
+	})
+}
+
+func TestGatewayHearsOfChangesByPeersWhenTheStoreTurnsItAway(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	b.server("i-1")
+	sound := b.start(b.store.Address())
+	b.listed(sound, "p")
+	// The second node's store answers nothing but 503.
+	shut := fake.NewStore()
+	t.Cleanup(shut.Close)
+	shut.Trouble(fake.Troubles{Busy: true})
+	n := b.start(shut.Address(), sound.set.Listen.Peers)
+	b.listed(n, "q")
+	b.config["Tenants"] = []any{}
+	b.configure()
+	b.eventually("the change arrives", func() bool {
+		return n.ask(gatewayAsk{method: "GET", path: "/once/x", id: "k", header: map[string]string{"Authorization": "Bearer none"}}).status == http.StatusOK
+	})
+	for _, node := range []*gatewayNode{sound, n} {
+		var found struct{ Addresses []string }
+		b.eventually("both nodes are listed", func() bool {
+			resp, err := http.Get("http://" + node.set.Listen.Directory + "/-/resolve?Name=" + benchHost)
+			if err != nil {
+				return false
+			}
+			defer func() { _ = resp.Body.Close() }()
+			return json.NewDecoder(resp.Body).Decode(&found) == nil && len(found.Addresses) == 2
+		})
+	}
+	is.Equal(len(b.nodes), 2)
+}
+
+func TestGatewayStopsWithoutCuttingARequest(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	b.server("i-1")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	answers := make(chan gatewayAnswer, 1)
+	go func() {
+		answers <- n.ask(gatewayAsk{method: "POST", path: "/stream/x", id: "s", body: "b", header: map[string]string{"Prompt-Prefix": streamHeader}})
+	}()
+	time.Sleep(10 * time.Millisecond)
+	n.stop()
+	got := <-answers
+	is.NoErr(got.err)
+	is.Equal(strings.Count(got.body, "data: piece-"), fake.StreamEvents)
+	b.eventually("not ready", func() bool {
+		resp, err := http.Get("http://" + n.set.Listen.Ready + "/-/readiness")
+		if err != nil {
+			return true
+		}
+		defer func() { _ = resp.Body.Close() }()
+		return resp.StatusCode != http.StatusOK
+	})
+	select {
+	case <-n.done:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the node did not end within its grace period")
+	}
+}
+
+func TestGatewayReportsUsageOnceThoughAnswersAreLost(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayBench(t)
+	b.server("i-1")
+	first := b.start(b.store.Address())
+	b.start(b.store.Address(), first.set.Listen.Peers)
+	b.listed(first, "p")
+	asked := 0
+	for round := range 8 {
+		b.store.Trouble(fake.Troubles{LoseAnswers: round%2 == 1})
+		for _, n := range b.nodes {
+			if n.ask(gatewayAsk{method: "POST", path: "/once/x", id: fmt.Sprintf("u%d%s", round, n.set.Node), body: "b"}).status == http.StatusOK {
+				asked++
+			}
+		}
+		if round == 4 {
+			first.stop() // another node goes on with the duty
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+	b.store.Trouble(fake.Troubles{})
+	reported := func() (total int) {
+		seen := map[float64]string{}
+		fences := int64(0)
+		for _, call := range b.cloud.Calls() {
+			window := call.Body["Window"].(float64)
+			counts, _ := json.Marshal(call.Body["Counts"])
+			if old, ok := seen[window]; ok && old != string(counts) {
+				t.Fatalf("window %v was reported as %s and %s", window, old, counts)
+			}
+			if call.Fence < fences {
+				t.Fatalf("fence %d after %d", call.Fence, fences)
+			}
+			seen[window], fences = string(counts), call.Fence
+		}
+		for _, counts := range seen {
+			var of map[string]int
+			_ = json.Unmarshal([]byte(counts), &of)
+			total += of[benchCustomer]
+		}
+		return total
+	}
+	b.eventually("all runs are reported", func() bool { return reported() >= asked })
+	is.True(asked > 8)
+}
