--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -35,7 +35,7 @@
 	mu      sync.Mutex
 	began   time.Time
 	buckets map[string]*sharedBucket
-	admit   map[string]float64 // own running sums by customer
+	admit   map[string]float64     // own running sums by customer
 	peers   map[string]*peerTotals // those that count; heard is zero before they told anything
 	nodes   int
 	over    Tolerance
