Choose the engine that has the least to read before the first token

Cause: late narratives; homes were given up by a count of requests, though what delays a first token is the tokens that wait to be read and those the engine does not keep. The choice now weighs tokens that wait at all nodes, tokens to read there (home, and what this node saw the engine read), and running requests.

--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -10,8 +11,9 @@
 
 // Bounds of the choice.
 const (
-	homeSlack     = 8   // requests by which a home may exceed the least loaded engine
-	failureWeight = 8.0 // requests that a server that always fails seems to have more
+	failureWeight = 8.0   // requests that a server that always fails seems to have more
+	requestTokens = 150.0 // prompt tokens that a running request delays a new prompt by
+	readWeight    = 1.5   // of tokens to read against tokens that wait: reading again costs others too
 )
 
 // candidate is a server that may take a request, with its load at all nodes.
@@ -75,18 +77,49 @@
 	return best, true
 }
 
-// chooseEngine prefers the home of the prompt's shared parts, so that they
-// are read there once, unless the home has much more to do than others.
-func chooseEngine(list []candidate, parts []part, domain string, rng *rand.Rand) (candidate, bool) {
-	least, ok := leastLoaded(list, domain, rng)
-	if !ok || len(parts) < 2 {
-		return least, ok
+// prompt is what the choice of an engine depends on.
+type prompt struct {
+	parts  []part
+	tokens int64 // of all parts
+	// holds tells whether an engine is believed to keep a part in memory.
+	holds func(server, part string) bool
+}
+
+// unread is how many tokens of the prompt a candidate would have to read. The
+// home of the shared parts is taken to keep them.
+func (p prompt) unread(c candidate, home string) int64 {
+	left := p.tokens
+	for i, one := range p.parts {
+		shared := i < len(p.parts)-1
+		if !(shared && c.id == home) && !p.holds(c.id, one.id) {
+			break
+		}
+		left -= one.tokens
 	}
-	home := homeOf(list, parts[len(parts)-2].id)
-	if home.load() <= least.load()+homeSlack {
-		return home, true
+	return max(left, 0)
+}
+
+// chooseEngine picks the engine that has the least to do before this prompt is
+// read, the reading of what it does not keep included. It returns the tokens
+// to be read there as well.
+func chooseEngine(list []candidate, p prompt, domain string, rng *rand.Rand) (best candidate, unread int64, ok bool) {
+	if len(list) == 0 {
+		return candidate{}, 0, false
+	}
+	home := ""
+	if len(p.parts) >= 2 {
+		home = homeOf(list, p.parts[len(p.parts)-2].id).id
+	}
+	least := math.Inf(1)
+	for _, i := range rng.Perm(len(list)) {
+		c := list[i]
+		tokens := p.unread(c, home)
+		work := float64(c.unread) + readWeight*float64(tokens) + requestTokens*c.load()
+		if work < least || work == least && c.domain == domain {
+			best, unread, least = c, tokens, work
+		}
 	}
-	return least, true
+	return best, unread, true
 }
 
 // homeOf is the candidate with the highest hash together with the part, so
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -27,10 +27,11 @@
 	a       *ask
 	reply   *reply
 	avoid   map[string]bool
-	sends   int  // that reached a server or tried to
-	runs    int  // that ran or may have run
-	counted bool // in the usage
-	unread  int64
+	sends   int            // that reached a server or tried to
+	runs    int            // that ran or may have run
+	counted bool           // in the usage
+	unread  int64          // tokens that count as waiting at the present server
+	begun   bool           // the first event of the present server has come
 	last    *http.Response // a server's own failure, kept in case no better answer comes
 	lastRaw []byte
 }
@@ -47,14 +48,14 @@
 		n.scaler.meter(a.service).Ask(unshared, a.arrived)
 	}
 	for {
-		s, ok := n.choose(a, f.avoid)
+		s, unread, ok := n.choose(a, f.avoid)
 		if !ok {
 			return f.end(ctx, codeNoServer, noServerWait)
 		}
 		if f.sends > 0 && !n.budget.Spend(a.service, n.members.Count(), time.Now()) {
 			return f.end(ctx, codeRefused, refusedWait)
 		}
-		done, err := f.try(ctx, s)
+		done, err := f.try(ctx, s, unread)
 		if done {
 			f.log("answered", s.ID, err)
 			n.metrics.Answered(a.route.Name, strconv.Itoa(f.reply.status), time.Since(a.arrived))
@@ -86,10 +87,10 @@
 
 // try sends to one server and relays its answer; done says that the client
 // has its whole answer.
-func (f *flight) try(ctx context.Context, s *server) (done bool, err error) {
+func (f *flight) try(ctx context.Context, s *server, unread int64) (done bool, err error) {
 	n, a := f.n, f.a
 	f.sends++
-	f.unread = a.tokensIn
+	f.unread, f.begun = unread, false
 	n.fleet.begin(s, f.unread)
 	defer n.fleet.end(s)
 	defer f.firstEvent(s)
@@ -121,8 +122,10 @@
 	defer func() { _ = sent.answer.Body.Close() }()
 	if isEventStream(sent.answer) {
 		err = f.reply.stream(sent.answer, n.stopping(), func() {
-			if f.unread != 0 {
+			if !f.begun {
+				f.begun = true
 				n.scaler.meter(a.service).Read(a.unshared(), time.Since(began))
+				n.beliefs.read(s.ID, a.parts)
 				n.metrics.FirstEvent(a.route.Name, time.Since(a.arrived))
 			}
 			f.firstEvent(s)
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -71,6 +71,7 @@
 	report  *duty.Usage
 	buyer   *capacity.Buyer
 	scaler  *scaler
+	beliefs *beliefs
 
 	began    time.Time
 	sequence atomic.Int64
@@ -94,7 +95,7 @@
 		set: set, platform: p, store: p.Store(), headers: p.Headers(), view: view.New(), fleet: newFleet(time.Now),
 		members: cluster.NewMembers(set.Node, time.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(set.Quota)),
 		budget: request.NewWindowBudget(set.Retries.Ratio, set.Retries.Extra, set.Retries.Window),
-		ledger: duty.NewLedger(), metrics: metrics, scaler: newScaler(), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		ledger: duty.NewLedger(), metrics: metrics, scaler: newScaler(), beliefs: newBeliefs(time.Now), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
 	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds}
@@ -249,19 +250,18 @@
 	return 0
 }
 
-// choose picks the server for the next send.
-func (n *Node) choose(a *ask, avoid map[string]bool) (*server, bool) {
+// choose picks the server for the next send, and tells how many tokens of the
+// prompt it will have to read.
+func (n *Node) choose(a *ask, avoid map[string]bool) (*server, int64, bool) {
 	list := n.fleet.candidates(a.service, avoid)
 	n.rngMu.Lock()
 	defer n.rngMu.Unlock()
-	var c candidate
-	var ok bool
 	if a.route.Sticky {
-		c, ok = chooseEngine(list, a.parts, n.set.FailureDomain, n.rng)
-	} else {
-		c, ok = leastLoaded(list, n.set.FailureDomain, n.rng)
+		c, unread, ok := chooseEngine(list, prompt{a.parts, a.tokensIn, n.beliefs.holds}, n.set.FailureDomain, n.rng)
+		return c.server, unread, ok
 	}
-	return c.server, ok
+	c, ok := leastLoaded(list, n.set.FailureDomain, n.rng)
+	return c.server, a.tokensIn, ok
 }
 
 func (n *Node) serverLeft(id string) {
