--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -22,9 +22,11 @@
 
 // Parts of the tolerance that the buckets use.
 const (
-	depthPart = 0.5  // of the burst; the rest comes back over the window
-	slackUsed = 0.25 // of the slack
-	smallPart = 0.01 // of a second's limit, up to which a request counts as small
+	depthPart   = 0.5  // of the burst; the rest comes back over the window
+	slackUsed   = 0.25 // of the slack
+	reservePart = 0.15 // of the depth, left by each step of priority
+	reserveMost = 0.45 // of the depth, at most
+	smallPart   = 0.01 // of a second's limit, up to which a request counts as small
 )
 
 // SharedLimiter holds each customer to one limit over all nodes. Every node
@@ -123,8 +125,9 @@
 }
 
 // Take admits a request of the given cost under a customer's rate (a second)
-// and burst. When it is refused, wait tells when there will be room.
-func (l *SharedLimiter) Take(customer string, cost, rate, burst float64, now time.Time) (ok bool, wait time.Duration) {
+// and burst. A less urgent request (a higher priority) leaves a reserve for
+// more urgent ones. When it is refused, wait tells when there will be room.
+func (l *SharedLimiter) Take(customer string, cost float64, priority int, rate, burst float64, now time.Time) (ok bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	rate += burst * (1 - depthPart) / l.over.Window.Seconds()
@@ -133,7 +136,8 @@
 	// The others are taken to have admitted as much unseen as this node has.
 	level := bucket.level - bucket.unseen*float64(l.nodes-1)
 	// A request larger than the whole burst passes when the bucket is full.
-	need := min(cost, burst)
+	reserve := burst * min(float64(priority)*reservePart, reserveMost)
+	need := min(cost+reserve, burst)
 	if cost < rate*smallPart {
 		// Many small requests weigh little: they go before a few large ones.
 		need = -l.over.Slack * slackUsed
--- a/src/admit/shared_test.go
+++ b/src/admit/shared_test.go
@@ -37,7 +37,7 @@
 			}
 			for range int(load * rate * step.Seconds() / 10) {
 				i := rapid.IntRange(0, nodes-1).Draw(t, "node")
-				if ok, _ := limiters[i].Take("c", 10, rate, burst, now); ok {
+				if ok, _ := limiters[i].Take("c", 10, 0, rate, burst, now); ok {
 					admitted[at] += 10
 				}
 			}
@@ -81,7 +81,7 @@
 	l := NewSharedLimiter(sharedStart, Tolerance{Window: 8 * time.Second})
 	now := sharedStart.Add(2 * time.Second)
 	for range 100 {
-		ok, _ := l.Take("c", 200, 100, 800, now)
+		ok, _ := l.Take("c", 200, 0, 100, 800, now)
 		is.True(ok)
 		l.Refund("c", 200)
 	}
@@ -93,13 +93,26 @@
 	l := NewSharedLimiter(sharedStart, Tolerance{Window: 8 * time.Second})
 	now := sharedStart.Add(2 * time.Second)
 	for {
-		ok, wait := l.Take("c", 50, 100, 400, now)
+		ok, wait := l.Take("c", 50, 0, 100, 400, now)
 		if ok {
 			continue
 		}
 		is.True(wait > 0)
-		ok, _ = l.Take("c", 50, 100, 400, now.Add(wait+time.Millisecond))
+		ok, _ = l.Take("c", 50, 0, 100, 400, now.Add(wait+time.Millisecond))
 		is.True(ok)
 		return
 	}
 }
+
+func TestUrgentRequestsFindRoomThatOthersLeft(t *testing.T) {
+	is := is.New(t)
+	l := NewSharedLimiter(sharedStart, Tolerance{Window: 8 * time.Second})
+	now := sharedStart.Add(2 * time.Second)
+	for {
+		if ok, _ := l.Take("c", 5, 2, 100, 800, now); !ok {
+			break
+		}
+	}
+	ok, _ := l.Take("c", 60, 0, 100, 800, now)
+	is.True(ok)
+}
--- a/src/capacity/demand.go
+++ b/src/capacity/demand.go
@@ -11,7 +11,7 @@
 	rateHalfLife   = 3 * time.Second  // of the measured rate of prompt tokens
 	peakFor        = 20 * time.Second // for which the highest demand is held
 	stepServers    = 2                // demand counts in steps of so many servers
-	readUsed       = 0.3              // of an engine's rate of reading that is planned for
+	readUsed       = 0.28             // of an engine's rate of reading that is planned for
 	slotsUsed      = 0.4              // of an engine's places that are planned for
 	readQuantile   = 0.7              // of the samples that lie below the measured rate of reading
 	readStep       = 0.1              // part by which one sample moves it, at most
--- a/src/duty/term.go
+++ b/src/duty/term.go
@@ -19,7 +19,7 @@
 	renewParts  = 4                      // renewals within one lease
 	CallLimit   = 700 * time.Millisecond // of one call under a term
 	safetyShare = 0.35                   // of a lease, in which its holder no longer begins calls
-	holdOff     = 200 * time.Millisecond // beyond a lease, before this node acts again
+	holdOff     = 200 * time.Millisecond // beyond a lease, for which a lease is held before it is given up early
 )
 
 // Term is one holder's time in duty. Fence grows from holder to holder.
@@ -45,10 +45,9 @@
 	ttl    time.Duration
 	now    func() time.Time
 
-	mu      sync.Mutex
-	state   leaseState
-	resting time.Time // no act before: an earlier term's acts must be older than a lease
-	closed  bool
+	mu     sync.Mutex
+	state  leaseState
+	closed bool
 }
 
 // leaseState is what is known of the own try at the lease.
@@ -57,16 +56,12 @@
 	nonce   string // value by which the own write is recognised
 	fence   int64  // 0 until the key is known to hold the nonce
 	renewed time.Time
+	held    time.Time // since when; zero before the key is known to hold the nonce
 }
 
-// NewLease returns the lease kept at key, for the node holder. Unless it is
-// the first start of the system, this machine may have acted just before.
-func NewLease(store Store, key, holder string, ttl time.Duration, first bool, now func() time.Time) *Lease {
-	l := &Lease{store: store, key: key, holder: holder, ttl: ttl, now: now}
-	if !first {
-		l.resting = now().Add(ttl + holdOff)
-	}
-	return l
+// NewLease returns the lease kept at key, for the node holder.
+func NewLease(store Store, key, holder string, ttl time.Duration, now func() time.Time) *Lease {
+	return &Lease{store: store, key: key, holder: holder, ttl: ttl, now: now}
 }
 
 // Term returns the present term if this node may begin a call now.
@@ -74,7 +69,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	if l.closed || l.state.fence == 0 || now.Before(l.resting) {
+	if l.closed || l.state.fence == 0 {
 		return Term{}, false
 	}
 	if now.Sub(l.state.renewed) >= time.Duration(float64(l.ttl)*(1-safetyShare)) {
@@ -158,7 +153,7 @@
 }
 
 func (l *Lease) hold(fence int64) {
-	l.set(func(s *leaseState) { s.fence = fence })
+	l.set(func(s *leaseState) { s.fence, s.held = fence, l.now() })
 	klog.InfoS("duty_taken", "holder", l.holder, "fence", fence)
 }
 
@@ -173,7 +168,6 @@
 	defer l.mu.Unlock()
 	if l.state.fence != 0 {
 		klog.InfoS("duty_lost", "holder", l.holder, "fence", l.state.fence, "why", why)
-		l.resting = l.now().Add(l.ttl + holdOff)
 	}
 	l.state = leaseState{}
 }
@@ -184,14 +178,18 @@
 	l.mu.Unlock()
 }
 
-// Close gives the lease up for good, so that another node can take it at once.
+// Close gives the lease up for good. Another node can take it at once, unless
+// it was held for less than a lease: then it is left to lapse, so that a node
+// that held it before does not act again within a lease of its own last act.
 func (l *Lease) Close(ctx context.Context) {
 	l.mu.Lock()
 	l.closed = true
-	id := l.state.lease
+	state := l.state
 	l.mu.Unlock()
-	if id != 0 {
-		l.drop("closed")
-		_ = l.store.Revoke(ctx, id)
+	short := state.fence != 0 && l.now().Sub(state.held) < l.ttl+holdOff
+	if state.lease == 0 || short {
+		return
 	}
+	l.drop("closed")
+	_ = l.store.Revoke(ctx, state.lease)
 }
--- a/src/duty/term_test.go
+++ b/src/duty/term_test.go
@@ -130,7 +130,7 @@
 		names := []string{"a", "b", "c"}
 		leases := map[string]*Lease{}
 		for _, name := range names {
-			leases[name] = NewLease(store, "duty", name, testTTL, true, clock)
+			leases[name] = NewLease(store, "duty", name, testTTL, clock)
 		}
 		frozen := map[string]time.Time{}
 		var acts []act
@@ -141,10 +141,10 @@
 			name := rapid.SampledFrom(names).Draw(t, "node")
 			switch rapid.IntRange(0, 19).Draw(t, "event") {
 			case 0: // the process is killed and starts again
-				leases[name] = NewLease(store, "duty", name, testTTL, false, clock)
+				leases[name] = NewLease(store, "duty", name, testTTL, clock)
 			case 1: // it is stopped, and starts again
 				leases[name].Close(context.Background())
-				leases[name] = NewLease(store, "duty", name, testTTL, false, clock)
+				leases[name] = NewLease(store, "duty", name, testTTL, clock)
 			case 2:
 				frozen[name] = store.now.Add(4 * time.Second)
 			}
@@ -187,11 +187,11 @@
 func TestLostAnswerOfTheLeaseIsReadBack(t *testing.T) {
 	is := is.New(t)
 	store := newMemoryStore()
-	l := NewLease(store, "duty", "a", testTTL, true, func() time.Time { return store.now })
+	l := NewLease(store, "duty", "a", testTTL, func() time.Time { return store.now })
 	l.Step(context.Background(), false) // lease granted, key written
 	_, ok := l.Term()
 	is.True(ok)
-	l = NewLease(store, "duty", "b", testTTL, true, func() time.Time { return store.now })
+	l = NewLease(store, "duty", "b", testTTL, func() time.Time { return store.now })
 	store.now = store.now.Add(4 * time.Second)
 	store.lapse()
 	id, err := store.Grant(context.Background(), testTTL)
--- a/src/duty/usage_test.go
+++ b/src/duty/usage_test.go
@@ -64,7 +64,7 @@
 	clock := func() time.Time { return store.now }
 	sender := &recorder{reports: map[int64][]string{}, broken: true}
 	make := func(holder string, counted int64) *Usage {
-		u := &Usage{Ledger: NewLedger(), Lease: NewLease(store, "duty", holder, testTTL, true, clock), Store: store, Sender: sender, Prefix: "usage/", Window: 5 * time.Second, Late: 10 * time.Second, Clock: clock}
+		u := &Usage{Ledger: NewLedger(), Lease: NewLease(store, "duty", holder, testTTL, clock), Store: store, Sender: sender, Prefix: "usage/", Window: 5 * time.Second, Late: 10 * time.Second, Clock: clock}
 		u.Ledger.Take("n", 1, 200, "customer", counted)
 		return u
 	}
@@ -86,7 +86,7 @@
 	store := newMemoryStore()
 	clock := func() time.Time { return store.now }
 	sender := &recorder{reports: map[int64][]string{}}
-	u := &Usage{Ledger: NewLedger(), Lease: NewLease(store, "duty", "a", testTTL, true, clock), Store: store, Sender: sender, Prefix: "usage/", Window: 5 * time.Second, Late: 10 * time.Second, Clock: clock}
+	u := &Usage{Ledger: NewLedger(), Lease: NewLease(store, "duty", "a", testTTL, clock), Store: store, Sender: sender, Prefix: "usage/", Window: 5 * time.Second, Late: 10 * time.Second, Clock: clock}
 	u.Ledger.Take("n", 1, 200, "customer", 3)
 	store.now = time.Unix(1008, 0)
 	u.Lease.Step(context.Background(), false)
--- a/src/gateway/ask.go
+++ b/src/gateway/ask.go
@@ -25,6 +25,7 @@
 	parts     []part
 	tokensIn  int64
 	tokensOut int64
+	ahead     int64 // prompt tokens that waited at the chosen engine
 	hasTokens bool
 	priority  int
 }
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -18,6 +18,7 @@
 	sendsMost     = 4 // servers that one attempt of a client is offered to
 	refusedWait   = 150 * time.Millisecond
 	noServerWait  = 300 * time.Millisecond
+	aheadPart     = 4 // of a prompt: with more than this part ahead of it, it tells nothing of the rate of reading
 	unknownStatus = http.StatusBadGateway
 )
 
@@ -124,7 +125,9 @@
 		err = f.reply.stream(sent.answer, n.stopping(), func() {
 			if !f.begun {
 				f.begun = true
-				n.scaler.meter(a.service).Read(a.unshared(), time.Since(began))
+				if a.ahead < a.unshared()/aheadPart {
+					n.scaler.meter(a.service).Read(a.unshared(), time.Since(began))
+				}
 				n.beliefs.read(s.ID, a.parts)
 				n.metrics.FirstEvent(a.route.Name, time.Since(a.arrived))
 			}
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -100,7 +100,7 @@
 	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
 	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds}
 	n.peers.Start()
-	n.lease = duty.NewLease(n.store, leaseKey, set.Node, set.Duties.Lease, set.FirstStart, time.Now)
+	n.lease = duty.NewLease(n.store, leaseKey, set.Node, set.Duties.Lease, time.Now)
 	n.report = &duty.Usage{
 		Ledger: n.ledger, Lease: n.lease, Store: n.store, Sender: p, Prefix: usagePrefix,
 		Window: set.Duties.UsageWindow, Late: set.Duties.UsageLate, Clock: n.agreed,
@@ -219,7 +219,7 @@
 		return refused
 	}
 	if c := a.customer; c != nil && c.Rate > 0 {
-		if ok, wait := n.quota.Take(c.Name, a.cost(), c.Rate, c.Burst, time.Now()); !ok {
+		if ok, wait := n.quota.Take(c.Name, a.cost(), a.priority, c.Rate, c.Burst, time.Now()); !ok {
 			return &refusal{status: http.StatusTooManyRequests, code: codeQuota, wait: wait}
 		}
 	}
@@ -258,6 +258,7 @@
 	defer n.rngMu.Unlock()
 	if a.route.Sticky {
 		c, unread, ok := chooseEngine(list, prompt{a.parts, a.tokensIn, n.beliefs.holds}, n.set.FailureDomain, n.rng)
+		a.ahead = c.unread
 		return c.server, unread, ok
 	}
 	c, ok := leastLoaded(list, n.set.FailureDomain, n.rng)
