--- a/src/cluster/members.go
+++ b/src/cluster/members.go
@@ -12,10 +12,11 @@
 
 // Times of the exchange.
 const (
-	aliveFor   = 2 * time.Second  // a node silent for longer is not given to clients
-	countedFor = 10 * time.Second // a node silent for longer has no share of limits
-	forgetFor  = 60 * time.Second // a node silent for longer is forgotten
-	clockFor   = 20 * time.Second // a clock not compared for longer has no voice
+	aliveFor   = 2 * time.Second        // a node silent for longer is not given to clients
+	silentFor  = 600 * time.Millisecond // a node not heard for longer is silent just now
+	countedFor = 10 * time.Second       // a node silent for longer has no share of limits
+	forgetFor  = 60 * time.Second       // a node silent for longer is forgotten
+	clockFor   = 20 * time.Second       // a clock not compared for longer has no voice
 )
 
 // Member is what is known of one node.
@@ -173,3 +174,8 @@
 	slices.Sort(offsets)
 	return m.steady(at).Add(offsets[len(offsets)/2])
 }
+
+// AllHeard tells whether every node that counts was heard just now.
+func (m *Members) AllHeard() bool {
+	return len(m.Others(countedFor)) == len(m.Others(silentFor))
+}
--- a/src/duty/usage.go
+++ b/src/duty/usage.go
@@ -12,7 +12,8 @@
 
 // Times of the usage reports, after the end of a window.
 const (
-	settleAfter  = 2500 * time.Millisecond // counts of all nodes have arrived by then
+	settleSoon   = 700 * time.Millisecond  // counts of nodes that are heard have arrived by then
+	settleAfter  = 2500 * time.Millisecond // for the counts of nodes that are silent just now
 	tryFor       = 4 * time.Second         // beyond the time at which a report is due
 	windowsKept  = 8
 	sealsRemoved = 6 // windows after which a seal is removed
@@ -86,6 +87,9 @@
 	Window time.Duration
 	Late   time.Duration    // after a window's end its report is due
 	Clock  func() time.Time // the time of day on which the nodes agree
+	// AllHeard tells whether no node is silent just now: then a window is
+	// sealed sooner, and less is lost when many nodes are killed.
+	AllHeard func() bool
 
 	sent map[int64]bool
 	fell int64 // fence under which sent was noted
@@ -101,7 +105,11 @@
 		u.sent, u.fell = map[int64]bool{}, term.Fence
 	}
 	now := u.Clock()
-	last := WindowOf(now.Add(-settleAfter), u.Window) - 1
+	settle := settleAfter
+	if u.AllHeard() {
+		settle = settleSoon
+	}
+	last := WindowOf(now.Add(-settle), u.Window) - 1
 	first := WindowOf(now.Add(-u.Late-tryFor), u.Window)
 	for window := first; window <= last; window++ {
 		if !u.sent[window] {
--- a/src/duty/usage_test.go
+++ b/src/duty/usage_test.go
@@ -64,7 +64,7 @@
 	clock := func() time.Time { return store.now }
 	sender := &recorder{reports: map[int64][]string{}, broken: true}
 	make := func(holder string, counted int64) *Usage {
-		u := &Usage{Ledger: NewLedger(), Lease: NewLease(store, "duty", holder, testTTL, clock), Store: store, Sender: sender, Prefix: "usage/", Window: 5 * time.Second, Late: 10 * time.Second, Clock: clock}
+		u := &Usage{Ledger: NewLedger(), Lease: NewLease(store, "duty", holder, testTTL, clock), Store: store, Sender: sender, Prefix: "usage/", Window: 5 * time.Second, Late: 10 * time.Second, Clock: clock, AllHeard: func() bool { return true }}
 		u.Ledger.Take("n", 1, 200, "customer", counted)
 		return u
 	}
@@ -86,7 +86,7 @@
 	store := newMemoryStore()
 	clock := func() time.Time { return store.now }
 	sender := &recorder{reports: map[int64][]string{}}
-	u := &Usage{Ledger: NewLedger(), Lease: NewLease(store, "duty", "a", testTTL, clock), Store: store, Sender: sender, Prefix: "usage/", Window: 5 * time.Second, Late: 10 * time.Second, Clock: clock}
+	u := &Usage{Ledger: NewLedger(), Lease: NewLease(store, "duty", "a", testTTL, clock), Store: store, Sender: sender, Prefix: "usage/", Window: 5 * time.Second, Late: 10 * time.Second, Clock: clock, AllHeard: func() bool { return true }}
 	u.Ledger.Take("n", 1, 200, "customer", 3)
 	store.now = time.Unix(1008, 0)
 	u.Lease.Step(context.Background(), false)
@@ -100,3 +100,20 @@
 	u.Step(context.Background())
 	is.Equal(len(sender.reports[200]), 1)
 }
+
+func TestWindowWaitsForSilentNodes(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	clock := func() time.Time { return store.now }
+	sender := &recorder{reports: map[int64][]string{}}
+	heard := false
+	u := &Usage{Ledger: NewLedger(), Lease: NewLease(store, "duty", "a", testTTL, clock), Store: store, Sender: sender, Prefix: "usage/", Window: 5 * time.Second, Late: 10 * time.Second, Clock: clock, AllHeard: func() bool { return heard }}
+	u.Ledger.Take("n", 1, 200, "customer", 3)
+	store.now = time.Unix(1006, 0) // a second after the window's end
+	u.Lease.Step(context.Background(), false)
+	u.Step(context.Background())
+	is.Equal(len(sender.reports), 0)
+	heard = true
+	u.Step(context.Background())
+	is.Equal(len(sender.reports[200]), 1)
+}
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -103,7 +103,7 @@
 	n.lease = duty.NewLease(n.store, leaseKey, set.Node, set.Duties.Lease, time.Now)
 	n.report = &duty.Usage{
 		Ledger: n.ledger, Lease: n.lease, Store: n.store, Sender: p, Prefix: usagePrefix,
-		Window: set.Duties.UsageWindow, Late: set.Duties.UsageLate, Clock: n.agreed,
+		Window: set.Duties.UsageWindow, Late: set.Duties.UsageLate, Clock: n.agreed, AllHeard: n.members.AllHeard,
 	}
 	n.buyer = &capacity.Buyer{Lease: n.lease, Sender: p, Now: time.Now}
 	return n, n.gauges()
