--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,10 @@
 
 capacity:
 	go test -tags measure ./test -run MeasureCapacity -v -timeout 30m
+
+# make days      plays test/days on both sites where the users' bench is present:
+#                BENCH is its program, SITES are its site files
+.PHONY: days
+days:
+	@for site in $(SITES); do for day in test/days/*.toml; do \
+	  echo "== $$site $$day"; $(BENCH) run $$site $$day --why "our own days" 2>&1 | grep -E -A1 '^day |wrong' ; done; done
--- a/cmd/crank-gateway/main.go
+++ b/cmd/crank-gateway/main.go
@@ -20,5 +20,6 @@
 	if err != nil {
 		return err
 	}
+	go process.Reload(ctx, set.File, platform.Load, node.Reload)
 	return node.Run(ctx)
 }
--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -63,6 +63,13 @@
 	return &SharedLimiter{began: now, over: over, buckets: map[string]*sharedBucket{}, admit: map[string]float64{}, peers: map[string]*peerTotals{}, nodes: 1}
 }
 
+// SetTolerance changes the tolerance from now on.
+func (l *SharedLimiter) SetTolerance(over Tolerance) {
+	l.mu.Lock()
+	l.over = over
+	l.mu.Unlock()
+}
+
 // SetNodes tells among how many nodes a rate is shared, this one included,
 // and which of the others still count.
 func (l *SharedLimiter) SetNodes(others []string) {
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -82,6 +82,7 @@
 	rng      *rand.Rand
 	servers  []*http.Server
 	metrics  *telemetry.Gateway
+	reloaded atomic.Pointer[Settings]
 }
 
 // New assembles a node.
@@ -106,6 +107,7 @@
 		Window: set.Duties.UsageWindow, Late: set.Duties.UsageLate, Clock: n.agreed, AllHeard: n.members.AllHeard,
 	}
 	n.buyer = &capacity.Buyer{Lease: n.lease, Sender: p, Now: time.Now}
+	n.reloaded.Store(&set)
 	return n, n.gauges()
 }
 
@@ -132,6 +134,17 @@
 
 func (n *Node) stopping() bool { return n.stopAt.Load() != 0 }
 
+// Reload puts newer settings in force: limits, seeds and times. Names and
+// addresses stay those of the start.
+func (n *Node) Reload(set Settings) {
+	n.budget.SetLimits(set.Retries.Ratio, set.Retries.Extra)
+	n.quota.SetTolerance(admit.Tolerance(set.Quota))
+	n.reloaded.Store(&set)
+}
+
+// settings are those in force.
+func (n *Node) settings() *Settings { return n.reloaded.Load() }
+
 // Run serves until ctx ends, then stops in order.
 func (n *Node) Run(ctx context.Context) error {
 	work, end := context.WithCancel(context.Background())
@@ -296,7 +309,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(n.platform.Resolve(addresses, n.set.AddressFor))
+	_ = json.NewEncoder(w).Encode(n.platform.Resolve(addresses, n.settings().AddressFor))
 }
 
 // dump tells the process's whole state.
@@ -318,8 +331,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), duty.CallLimit)
 	n.lease.Close(ctx)
 	cancel()
-	end := began.Add(n.set.Grace - stopMargin)
-	quiet := min(refuseAfter+time.Second, n.set.Grace/2)
+	grace := n.settings().Grace
+	end := began.Add(grace - stopMargin)
+	quiet := min(refuseAfter+time.Second, grace/2)
 	for time.Now().Before(end) {
 		if time.Since(began) > quiet && n.open.Load() == 0 {
 			break
--- a/src/gateway/settings.go
+++ b/src/gateway/settings.go
@@ -13,6 +13,7 @@
 
 // Settings is what one gateway process is told at its start.
 type Settings struct {
+	File          string // from which they were read; looked at for changes
 	Node          string
 	FailureDomain string
 	Region        string
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -216,7 +216,7 @@
 
 // seeds are addresses where other nodes may be found.
 func (n *Node) seeds() []string {
-	out := append([]string{}, n.set.Seeds...)
+	out := append([]string{}, n.settings().Seeds...)
 	for _, it := range n.view.List(nodePrefix) {
 		var e nodeEntry
 		if json.Unmarshal(it.Value, &e) == nil && !strings.HasSuffix(it.Key, "/"+n.set.Node) {
--- a/src/process/main.go
+++ b/src/process/main.go
@@ -44,6 +44,8 @@
 		fmt.Println("settings are valid")
 		return
 	}
+	// A hangup says that the settings have changed; it must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := run(ctx, set); err != nil {
--- /dev/null
+++ b/src/process/reload_test.go
@@ -0,0 +1,49 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestSettingsAreLoadedAgainBySignalAndByChange(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings")
+	is.NoErr(os.WriteFile(path, []byte("one"), 0o600))
+	load := func(path string) (string, error) {
+		raw, err := os.ReadFile(path)
+		if string(raw) == "wrong" {
+			return "", errors.New("wrong")
+		}
+		return string(raw), err
+	}
+	applied := make(chan string, 8)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go Reload(ctx, path, load, func(text string) { applied <- text })
+	next := func() string {
+		select {
+		case text := <-applied:
+			return text
+		case <-time.After(5 * time.Second):
+			return "nothing"
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP)) // it must not end the process
+	is.Equal(next(), "one")
+	write := func(text string, at time.Time) {
+		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+		is.NoErr(os.Chtimes(path, at, at))
+	}
+	write("wrong", time.Now().Add(time.Hour))
+	time.Sleep(2 * lookEvery)
+	write("two", time.Now().Add(2*time.Hour))
+	is.Equal(next(), "two") // what is wrong changed nothing
+}
--- a/src/request/window.go
+++ b/src/request/window.go
@@ -34,6 +34,13 @@
 	return &WindowBudget{ratio: ratio, extra: extra, window: window, slots: map[string]*[windowSlots + 1]windowSlot{}}
 }
 
+// SetLimits changes what is allowed from now on.
+func (b *WindowBudget) SetLimits(ratio, extra float64) {
+	b.mu.Lock()
+	b.ratio, b.extra = ratio, extra
+	b.mu.Unlock()
+}
+
 func (b *WindowBudget) slot(service string, now time.Time) *windowSlot {
 	ring := b.slots[service]
 	if ring == nil {
