A randomized soak of gateways as processes, with faults from outside

test/soak_test.go: four crank-gateway processes before stand-ins, behind proxies; kills, stops, pauses, hangups, links that are late, silent one way or reset, servers and store in every manner; checked from what clients, servers and the cloud see.

--- /dev/null
+++ b/test/soak_test.go
@@ -0,0 +1,429 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/crankridge/crankridge/platform/fake"
+)
+
+// The soak runs gateways as processes of their own against stand-ins of the
+// platform, behind proxies, and brings faults upon them in series that
+// overlap. CI plays soakSeedsCI; SOAK_SEEDS and SOAK_SECONDS play more by hand.
+const (
+	soakNodes   = 4
+	soakServers = 4
+	soakClients = 8
+	soakSeconds = 6
+	soakSeedsCI = 1
+	soakRestore = 8 * time.Second // in which all nodes serve again after the faults
+)
+
+// soakRegressions are the seeds that ever failed, each with its cause.
+var soakRegressions = []uint64{}
+
+type soak struct {
+	*gatewayBench
+	dir      string
+	rng      *rand.Rand
+	rngMu    sync.Mutex
+	procs    []*soakProc
+	servers  []*fake.Server
+	links    []*link // to the servers
+	mu       sync.Mutex
+	answers  []soakAnswer
+	problems []string
+	fault    string // the faults so far, for a failure's report
+}
+
+type soakProc struct {
+	mu       sync.Mutex // held by whoever does something to the process
+	proc     *proc
+	store    *link
+	settings string
+	front    string
+	ready    string
+	control  string
+}
+
+type soakAnswer struct {
+	id     string
+	once   bool
+	stream bool
+	gatewayAnswer
+}
+
+func TestSoak(t *testing.T) {
+	seeds := slices.Clone(soakRegressions)
+	count := soakSeedsCI
+	if text := os.Getenv("SOAK_SEEDS"); text != "" {
+		count, _ = strconv.Atoi(text)
+	}
+	for range count {
+		seeds = append(seeds, rand.Uint64())
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { playSoak(t, seed) })
+	}
+}
+
+func playSoak(t *testing.T, seed uint64) {
+	s := &soak{gatewayBench: newGatewayBench(t), dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, seed))}
+	for i := range soakServers {
+		s.addServer(fmt.Sprint("i-", i))
+	}
+	for i := range soakNodes {
+		s.addNode(i)
+	}
+	for _, p := range s.procs {
+		s.waitReady(p, 10*time.Second)
+	}
+	seconds := soakSeconds
+	if text := os.Getenv("SOAK_SECONDS"); text != "" {
+		seconds, _ = strconv.Atoi(text)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(seconds)*time.Second)
+	defer cancel()
+	var running sync.WaitGroup
+	for i := range soakClients {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			s.client(ctx, i)
+		}()
+	}
+	for range 3 {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			s.trouble(ctx)
+		}()
+	}
+	running.Wait()
+	s.calm()
+	s.checkRecovery()
+	s.checkAnswers()
+	s.checkDuties()
+	if len(s.problems) > 0 {
+		for _, p := range s.procs {
+			raw, _ := os.ReadFile(p.proc.log)
+			_ = os.WriteFile(filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d-%s.log", seed, p.proc.name)), raw, 0o600)
+		}
+		t.Fatalf("seed %d:\n%s\nfaults:\n%s", seed, strings.Join(s.problems[:min(len(s.problems), 10)], "\n"), s.fault)
+	}
+}
+
+func (s *soak) pick(n int) int {
+	s.rngMu.Lock()
+	defer s.rngMu.Unlock()
+	return s.rng.IntN(n)
+}
+
+func (s *soak) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.pick(int(high-low)))
+}
+
+func (s *soak) problem(format string, args ...any) {
+	s.mu.Lock()
+	s.problems = append(s.problems, fmt.Sprintf(format, args...))
+	s.mu.Unlock()
+}
+
+func (s *soak) addServer(id string) {
+	server := fake.NewServer(id)
+	s.t.Cleanup(server.Close)
+	entry := server.Entry("plain", "zone-1", "ready")
+	l := newLink(s.t, "to-"+id, entry["Address"].(string))
+	entry["Address"] = l.addr
+	s.store.Put("servers/"+id, entry)
+	s.servers, s.links = append(s.servers, server), append(s.links, l)
+}
+
+func (s *soak) addNode(i int) {
+	p := &soakProc{store: newLink(s.t, fmt.Sprint("store-", i), s.store.Address()), front: freeAddr(s.t), ready: freeAddr(s.t), control: freeAddr(s.t)}
+	var seeds []string
+	for _, other := range s.procs {
+		seeds = append(seeds, other.control)
+	}
+	p.settings = fmt.Sprintf("NodeName=node-%d\nZone=zone-1\nRegion=here\nSeedNodes=%s\nListenAddresses.Front=%s\nListenAddresses.Ready=%s\nListenAddresses.Control=%s\n"+
+		"PlatformSettings.Address=%s\nCloudApi.Address=%s\nCloudApi.Duties=usage_reporting\nBounds.GracePeriodS=3\nBounds.LeaseMs=1500\nBounds.UsageWindowS=1\nBounds.UsageLateS=10\n"+
+		"Bounds.RetryBudgetRatio=0.2\nBounds.ExtraRetries=50\nBounds.BudgetWindowS=10\n", i, strings.Join(seeds[:min(len(seeds), 3)], ","), p.front, p.ready, p.control, p.store.addr, s.cloud.Address())
+	path := filepath.Join(s.dir, fmt.Sprintf("node-%d.conf", i))
+	s.is.NoErr(os.WriteFile(path, []byte(p.settings), 0o600))
+	p.proc = &proc{t: s.t, name: fmt.Sprint("node-", i), path: path, log: path + ".log"}
+	p.proc.launch("crank-gateway")
+	s.t.Cleanup(p.proc.kill)
+	s.procs = append(s.procs, p)
+}
+
+func (s *soak) waitReady(p *soakProc, within time.Duration) bool {
+	end := time.Now().Add(within)
+	for time.Now().Before(end) {
+		if resp, err := http.Get("http://" + p.ready + "/-/readiness"); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return false
+}
+
+// client sends requests of every kind to any node, one after the other.
+func (s *soak) client(ctx context.Context, number int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		p := s.procs[s.pick(len(s.procs))]
+		a := gatewayAsk{method: http.MethodPost, id: fmt.Sprintf("c%d-%d", number, n), body: "body"}
+		answer := soakAnswer{id: a.id}
+		switch s.pick(4) {
+		case 0:
+			a.path, answer.once = "/once/x", true
+		case 1:
+			a.method, a.path, a.body = http.MethodGet, "/repeat/x", ""
+		case 2:
+			a.path, answer.once, answer.stream = "/stream/x", true, true
+		default:
+			a.path, answer.stream = "/resume/x", true
+		}
+		if answer.stream {
+			a.header = map[string]string{"Prompt-Prefix": fmt.Sprintf("a:10,b%d:20,c:30", s.pick(8))}
+		}
+		node := &gatewayNode{}
+		node.set.Listen.Callers = p.front
+		answer.gatewayAnswer = node.ask(a)
+		s.mu.Lock()
+		s.answers = append(s.answers, answer)
+		s.mu.Unlock()
+	}
+}
+
+// trouble brings one fault after the other until ctx ends.
+func (s *soak) trouble(ctx context.Context) {
+	faults := []struct {
+		name string
+		do   func()
+	}{
+		{"kill", s.killNode}, {"stop", s.stopNode}, {"pause", s.pauseNode}, {"hangup", s.hangup},
+		{"store link", s.storeLink}, {"server link", s.serverLink}, {"server manner", s.serverManner},
+		{"store", s.storeTrouble}, {"configure", s.change}, {"cloud", s.cloudTrouble},
+	}
+	began := time.Now()
+	for ctx.Err() == nil {
+		f := faults[s.pick(len(faults))]
+		s.mu.Lock()
+		s.fault += fmt.Sprintf("%6d ms %s\n", time.Since(began).Milliseconds(), f.name)
+		s.mu.Unlock()
+		f.do()
+		time.Sleep(s.between(50*time.Millisecond, 400*time.Millisecond))
+	}
+}
+
+func (s *soak) node() *soakProc { return s.procs[s.pick(len(s.procs))] }
+
+func (s *soak) killNode() {
+	p := s.node()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.proc.kill()
+	time.Sleep(s.between(50*time.Millisecond, time.Second))
+	p.proc.launch("crank-gateway")
+}
+
+func (s *soak) stopNode() {
+	p := s.node()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.proc.signal(syscall.SIGTERM)
+	if !p.proc.waitStopped(3500 * time.Millisecond) {
+		s.problem("%s did not end within its grace period", p.proc.name)
+		p.proc.kill()
+	}
+	p.proc.launch("crank-gateway")
+}
+
+func (s *soak) pauseNode() {
+	p := s.node()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.proc.signal(syscall.SIGSTOP)
+	time.Sleep(s.between(100*time.Millisecond, 3*time.Second))
+	p.proc.signal(syscall.SIGCONT)
+}
+
+func (s *soak) hangup() {
+	p := s.node()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.proc.signal(syscall.SIGHUP)
+}
+
+// disturb delays, silences (both ways or one) or resets a link for a while.
+func (s *soak) disturb(l *link) {
+	kinds := []string{
+		`{"name":"t","type":"latency","stream":"downstream","attributes":{"latency":300}}`,
+		`{"name":"t","type":"timeout","stream":"downstream","attributes":{"timeout":0}}`,
+		`{"name":"t","type":"timeout","stream":"upstream","attributes":{"timeout":0}}`,
+		`{"name":"t","type":"reset_peer","stream":"downstream","attributes":{"timeout":20}}`,
+	}
+	toxic, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(kinds[s.pick(len(kinds))]))
+	if err != nil {
+		return // another fault has this link
+	}
+	time.Sleep(s.between(200*time.Millisecond, 2500*time.Millisecond))
+	_ = l.proxy.Toxics.RemoveToxic(context.Background(), toxic.Name)
+}
+
+func (s *soak) storeLink()  { s.disturb(s.node().store) }
+func (s *soak) serverLink() { s.disturb(s.links[s.pick(len(s.links))]) }
+
+func (s *soak) serverManner() {
+	manners := []fake.Manner{fake.Full, fake.Failing, fake.Mute, fake.Resetting, fake.OtherID, fake.HalfStream}
+	server := s.servers[s.pick(len(s.servers))]
+	server.Behave(manners[s.pick(len(manners))])
+	time.Sleep(s.between(100*time.Millisecond, 1500*time.Millisecond))
+	server.Behave(fake.Well)
+}
+
+func (s *soak) storeTrouble() {
+	troubles := []fake.Troubles{{Busy: true}, {Silent: true}, {Deaf: true}, {LoseAnswers: true}}
+	s.store.Trouble(troubles[s.pick(len(troubles))])
+	time.Sleep(s.between(100*time.Millisecond, 2*time.Second))
+	s.store.Forget()
+	s.store.Trouble(fake.Troubles{})
+}
+
+func (s *soak) cloudTrouble() {
+	s.cloud.SetDown(true)
+	time.Sleep(s.between(100*time.Millisecond, time.Second))
+	s.cloud.SetDown(false)
+}
+
+// change writes a new version that changes nothing for the clients.
+func (s *soak) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configure()
+}
+
+// calm ends all faults and starts what is not running.
+func (s *soak) calm() {
+	s.store.Trouble(fake.Troubles{})
+	s.cloud.SetDown(false)
+	for _, server := range s.servers {
+		server.Behave(fake.Well)
+	}
+}
+
+func (s *soak) checkRecovery() {
+	for _, p := range s.procs {
+		if !s.waitReady(p, soakRestore) {
+			s.problem("%s is not ready again", p.proc.name)
+			continue
+		}
+		node := &gatewayNode{}
+		node.set.Listen.Callers = p.front
+		end, served := time.Now().Add(soakRestore), false
+		for i := 0; !served && time.Now().Before(end); i++ {
+			served = node.ask(gatewayAsk{method: http.MethodGet, path: "/repeat/x", id: fmt.Sprintf("after-%s-%d", p.proc.name, i)}).status == http.StatusOK
+		}
+		if !served {
+			s.problem("%s serves nothing after the faults", p.proc.name)
+		}
+		if !s.atVersion(p, end) {
+			s.problem("%s does not have the newest configuration", p.proc.name)
+		}
+	}
+}
+
+func (s *soak) atVersion(p *soakProc, end time.Time) bool {
+	for time.Now().Before(end) {
+		var state struct{ Version int }
+		if resp, err := http.Get("http://" + p.control + "/debug/state"); err == nil {
+			_ = json.NewDecoder(resp.Body).Decode(&state)
+			_ = resp.Body.Close()
+		}
+		if state.Version == s.version {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+// checkAnswers holds what clients were told against what servers ran.
+func (s *soak) checkAnswers() {
+	runs := map[string]int{}
+	for _, server := range s.servers {
+		for _, run := range server.Runs() {
+			runs[run.ID]++
+			if run.Customer != benchCustomer || run.Key != "" {
+				s.problem("%s ran for %q with key %q", run.ID, run.Customer, run.Key)
+			}
+		}
+	}
+	whole := 0
+	for _, a := range s.answers {
+		switch {
+		case a.once && runs[a.id] > 1:
+			s.problem("%s ran %d times", a.id, runs[a.id])
+		case (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests) && a.err == nil && runs[a.id] > 0 && a.once:
+			s.problem("%s was told that it has not run, and ran", a.id)
+		case a.err == nil && a.status >= 300 && a.status < 500 && a.status != http.StatusTooManyRequests:
+			s.problem("%s was answered %d", a.id, a.status)
+		case a.err == nil && a.status == http.StatusOK && !s.isWhole(a):
+			s.problem("%s was answered %q", a.id, a.body)
+		}
+		if a.err == nil && a.status == http.StatusOK {
+			whole++
+		}
+	}
+	if whole == 0 {
+		s.problem("nothing was served")
+	}
+	s.t.Logf("%d requests, %d whole answers", len(s.answers), whole)
+}
+
+func (s *soak) isWhole(a soakAnswer) bool {
+	if !a.stream {
+		return a.body == "answer of "+a.header.Get("Server-Stamp")
+	}
+	want := ""
+	for event := 1; event <= fake.StreamEvents; event++ {
+		want += fmt.Sprintf("id: %d\ndata: piece-%d\n\n", event, event)
+	}
+	return a.body == want
+}
+
+// checkDuties looks for a window with two counts, a fence that falls, and a
+// fence of two holders.
+func (s *soak) checkDuties() {
+	windows, holders := map[any]string{}, map[int64]string{}
+	highest := int64(0)
+	for _, call := range s.cloud.Calls() {
+		counts, _ := json.Marshal(call.Body["Counts"])
+		window := call.Body["Window"]
+		if old, ok := windows[window]; ok && old != string(counts) {
+			s.problem("window %v was reported as %s and %s", window, old, counts)
+		}
+		if old, ok := holders[call.Fence]; ok && old != call.Holder {
+			s.problem("fence %d was used by %s and %s", call.Fence, old, call.Holder)
+		}
+		if call.Fence < highest {
+			s.problem("fence %d came after %d", call.Fence, highest)
+		}
+		windows[window], holders[call.Fence], highest = string(counts), call.Holder, max(highest, call.Fence)
+	}
+}
