Use more of what limits may be exceeded by, whatever a request's size

The log of each refusal (trial) shows two reasons: a node took its own last admission, often 20,000 tokens of one prompt, as admitted by each of the other eight nodes as well; and only a quarter of the slack and none of the overage was used. Now: others' unseen admissions are taken from a mean over a second; two fifths of overage and slack are used; size does not decide, but for tiny requests. Tests: TestSizeDoesNotDecideWhoIsRefused, TestABurstAtOneNodeIsNotTakenForABurstAtAll fail on the code before; the property of shared limits holds as it was.

--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -10,25 +10,39 @@
 const (
 	silentAfter = 700 * time.Millisecond // a node not heard for longer is charged for by its even share
 	refillMost  = 2 * time.Second        // most that counts as having passed between two looks
-	unseenFor   = 400 * time.Millisecond // time constant in which the others learn of an admission
+	unseenFor   = 400 * time.Millisecond // in which the others learn of an admission, about
+	unseenOver  = time.Second            // time constant of the mean that tells how much is unseen
 )
 
 // Tolerance is by how much a limit may be exceeded over a window; a part of
 // it is used, the rest covers what is admitted before the nodes know of it.
 type Tolerance struct {
-	Window time.Duration // in which the burst may be used once
-	Slack  float64       // beyond rate and burst, in a window
+	Window  time.Duration // in which the burst may be used once
+	Overage float64       // part of rate and burst that may come on top of them, in a window
+	Slack   float64       // beyond that, in a window
 }
 
 // Parts of the tolerance that the buckets use.
 const (
-	depthPart   = 0.5  // of the burst; the rest comes back over the window
-	slackUsed   = 0.25 // of the slack
-	reservePart = 0.15 // of the depth, left by each step of priority
-	reserveMost = 0.45 // of the depth, at most
-	smallPart   = 0.01 // of a second's limit, up to which a request counts as small
+	depthPart     = 0.5       // of the burst that a bucket holds; the rest comes back over the window
+	depthSlack    = 0.25      // of the slack that a bucket holds as well
+	toleranceUsed = 0.4       // of overage and slack together
+	reservePart   = 0.1       // of the depth, left by each step of priority
+	reserveMost   = 0.45      // of the depth, at most
+	tinyPart      = 1.0 / 250 // of the depth, up to which a request weighs nothing beside others
+	tinyOverdraft = 0.25      // of the depth, which only tiny requests may overdraw
 )
 
+// bucketOf is the rate at which a bucket fills and its depth: over any window
+// they admit rate, burst and the used part of the tolerance, and no more.
+func (t Tolerance) bucketOf(rate, burst float64) (fill, depth float64) {
+	window := t.Window.Seconds()
+	limit := rate*window + burst
+	most := limit + toleranceUsed*(t.Overage*limit+t.Slack)
+	depth = depthPart*burst + depthSlack*t.Slack
+	return (most - depth) / window, depth
+}
+
 // SharedLimiter holds each customer to one limit over all nodes. Every node
 // keeps the same bucket: it takes out what it admits itself and what the
 // others tell that they admitted. A node that is silent is charged an even
@@ -46,7 +60,7 @@
 type sharedBucket struct {
 	level  float64
 	at     time.Time
-	unseen float64 // own admissions that the others do not know yet, about
+	unseen float64 // own admissions of the last while, fading
 }
 
 // peerTotals is what one node told of its running sums.
@@ -137,20 +151,17 @@
 func (l *SharedLimiter) Take(customer string, cost float64, priority int, rate, burst float64, now time.Time) (ok bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rate += burst * (1 - depthPart) / l.over.Window.Seconds()
-	burst = burst*depthPart + l.over.Slack*slackUsed
-	bucket := l.refill(customer, rate, burst, now)
-	// The others are taken to have admitted as much unseen as this node has.
-	level := bucket.level - bucket.unseen*float64(l.nodes-1)
-	// A request larger than the whole burst passes when the bucket is full.
-	reserve := burst * min(float64(priority)*reservePart, reserveMost)
-	need := min(cost+reserve, burst)
-	if cost < rate*smallPart {
-		// Many small requests weigh little: they go before a few large ones.
-		need = -l.over.Slack * slackUsed
+	fill, depth := l.over.bucketOf(rate, burst)
+	bucket := l.refill(customer, fill, depth, now)
+	level := bucket.level - l.unseenElsewhere(bucket)
+	// The size of a request does not matter: a large one would find room less
+	// often than a small one. What it overdraws is paid back before the next.
+	need := depth * min(float64(priority)*reservePart, reserveMost)
+	if cost <= depth*tinyPart {
+		need = -depth * tinyOverdraft
 	}
 	if level < need {
-		return false, time.Duration((need - level) / rate * float64(time.Second))
+		return false, time.Duration((need - level) / fill * float64(time.Second))
 	}
 	bucket.level -= cost
 	bucket.unseen += cost
@@ -158,6 +169,12 @@
 	return true, 0
 }
 
+// unseenElsewhere estimates what the others have admitted and not told yet:
+// they are taken to admit as much as this node did over the last while.
+func (l *SharedLimiter) unseenElsewhere(bucket *sharedBucket) float64 {
+	return bucket.unseen * float64(l.nodes-1) * unseenFor.Seconds() / unseenOver.Seconds()
+}
+
 // Refund gives back the cost of a request that did not run.
 func (l *SharedLimiter) Refund(customer string, cost float64) {
 	l.mu.Lock()
@@ -177,7 +194,7 @@
 	}
 	passed := max(min(now.Sub(bucket.at), refillMost), 0).Seconds()
 	bucket.at = now
-	bucket.unseen *= math.Exp(-passed / unseenFor.Seconds())
+	bucket.unseen *= math.Exp(-passed / unseenOver.Seconds())
 	bucket.level += rate * passed
 	even := rate / float64(l.nodes) * passed
 	for _, peer := range l.peers {
--- a/src/admit/shared_test.go
+++ b/src/admit/shared_test.go
@@ -23,7 +23,7 @@
 		lag := rapid.IntRange(1, 8).Draw(t, "lag of the exchange in steps")
 		cut := rapid.IntRange(-1, nodes-1).Draw(t, "node cut off from the others")
 		load := rapid.Float64Range(0.2, 6).Draw(t, "asked, as a multiple of the limit")
-		over := Tolerance{Window: window, Slack: slack}
+		over := Tolerance{Window: window, Overage: 0.1, Slack: slack}
 		limiters := make([]*SharedLimiter, nodes)
 		for i := range limiters {
 			limiters[i] = NewSharedLimiter(sharedStart, over)
@@ -116,3 +116,53 @@
 	ok, _ := l.Take("c", 60, 0, 100, 800, now)
 	is.True(ok)
 }
+
+func TestSizeDoesNotDecideWhoIsRefused(t *testing.T) {
+	is := is.New(t)
+	l := NewSharedLimiter(sharedStart, Tolerance{Window: 8 * time.Second})
+	asked, passed := map[float64]int{}, map[float64]int{}
+	for at := range 4000 {
+		now := sharedStart.Add(time.Duration(at) * 10 * time.Millisecond)
+		cost := []float64{20, 20, 20, 200}[at%4] // three times the rate in all
+		ok, _ := l.Take("c", cost, 0, 2000, 2000, now)
+		asked[cost]++
+		if ok {
+			passed[cost]++
+		}
+	}
+	small := float64(passed[20]) / float64(asked[20])
+	large := float64(passed[200]) / float64(asked[200])
+	is.True(small < 0.9)
+	is.True(large > 0.8*small)
+}
+
+func TestTinyRequestsPassWhereOthersAreRefused(t *testing.T) {
+	is := is.New(t)
+	l := NewSharedLimiter(sharedStart, Tolerance{Window: 8 * time.Second})
+	now := sharedStart.Add(2 * time.Second)
+	for {
+		if ok, _ := l.Take("c", 50, 0, 1000, 1000, now); !ok {
+			break
+		}
+	}
+	ok, _ := l.Take("c", 1, 2, 1000, 1000, now)
+	is.True(ok)
+}
+
+func TestABurstAtOneNodeIsNotTakenForABurstAtAll(t *testing.T) {
+	is := is.New(t)
+	l := NewSharedLimiter(sharedStart, Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 600})
+	l.SetNodes(othersOf(0, 9))
+	for at := range 40 {
+		now := sharedStart.Add(time.Duration(at) * 100 * time.Millisecond)
+		for node := 1; node < 9; node++ {
+			l.Heard(fmt.Sprint(node), 1, map[string]float64{"c": 0}, now)
+		}
+	}
+	now := sharedStart.Add(4 * time.Second)
+	for range 3 {
+		// In all a quarter of what the bucket holds.
+		ok, _ := l.Take("c", 50, 1, 1000, 1000, now)
+		is.True(ok)
+	}
+}
--- a/src/gateway/settings.go
+++ b/src/gateway/settings.go
@@ -47,8 +47,9 @@
 
 // QuotaLimits tell how far customers' limits may be exceeded.
 type QuotaLimits struct {
-	Window time.Duration // in which the burst may be used once
-	Slack  float64       // beyond rate and burst, in a window
+	Window  time.Duration // in which the burst may be used once
+	Overage float64       // part of rate and burst that may come on top of them, in a window
+	Slack   float64       // beyond that, in a window
 }
 
 // DutyLimits are the bounds of what one node at a time does.
