Exchange by way of hubs in a large system; charge no repeat for what reached nobody

Every node told its whole record to eight others four times a second, with a list of all nodes known, and decoded all servers again at each change. Now, above 16 nodes, a node tells its record to the hub of its failure domain twice a second and is told sums; hubs exchange the records that they were told. Any node is a hub as soon as others ask it, so that nothing has to be agreed. Hubs watch the store for all. Smaller systems exchange as before. Test: TestGatewayPassesServersByThatCannotBeReached, which failed before. Tests of hubs: src/cluster/hub_test.go.

--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -8,10 +8,13 @@
 
 // Times of shared limits.
 const (
-	silentAfter = 700 * time.Millisecond // a node not heard for longer is charged for by its even share
-	refillMost  = 2 * time.Second        // most that counts as having passed between two looks
-	unseenFor   = 400 * time.Millisecond // in which the others learn of an admission, about
-	unseenOver  = time.Second            // time constant of the mean that tells how much is unseen
+	silentAfter = 700 * time.Millisecond  // a node not heard for longer is charged for by its even share
+	sumSilent   = 2 * time.Second         // the same for the sum over all other nodes, which a hub tells
+	sumUnseen   = 1500 * time.Millisecond // in which an admission reaches a node by way of hubs, about
+	refillMost  = 2 * time.Second         // most that counts as having passed between two looks
+	unseenFor   = 400 * time.Millisecond  // in which the others learn of an admission, about
+	unseenOver  = time.Second             // time constant of the mean that tells how much is unseen
+	likeOwnMost = 8                       // other nodes that are taken to admit what this one does
 )
 
 // Tolerance is by how much a limit may be exceeded over a window; a part of
@@ -54,6 +57,7 @@
 	admit   map[string]float64     // own running sums by customer
 	peers   map[string]*peerTotals // those that count; heard is zero before they told anything
 	nodes   int
+	summed  bool // the others are told of as one sum
 	over    Tolerance
 }
 
@@ -61,6 +65,7 @@
 	level  float64
 	at     time.Time
 	unseen float64 // own admissions of the last while, fading
+	told   float64 // the others' admissions, as told in the last while, fading
 }
 
 // peerTotals is what one node told of its running sums.
@@ -89,7 +94,21 @@
 func (l *SharedLimiter) SetNodes(others []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.nodes = len(others) + 1
+	l.nodes, l.summed = len(others)+1, false
+	l.count(others)
+}
+
+// SetSum tells that all others, so many, are told of as one sum by a source.
+// What they admitted while the source changes is not charged.
+func (l *SharedLimiter) SetSum(source string, others int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nodes, l.summed = others+1, true
+	l.count([]string{source})
+}
+
+// count keeps the peers that count, and no others.
+func (l *SharedLimiter) count(others []string) {
 	keep := make(map[string]bool, len(others))
 	for _, name := range others {
 		keep[name] = true
@@ -129,6 +148,7 @@
 			continue
 		}
 		bucket.level -= total - before[customer] - peer.assumed[customer]
+		bucket.told += max(total-before[customer], 0)
 	}
 	peer.incarnation, peer.totals, peer.heard = incarnation, totals, now
 	clear(peer.assumed)
@@ -170,9 +190,14 @@
 }
 
 // unseenElsewhere estimates what the others have admitted and not told yet:
-// they are taken to admit as much as this node did over the last while.
+// they are taken to admit as much as this node did over the last while, or as
+// they told where they are told of as one sum.
 func (l *SharedLimiter) unseenElsewhere(bucket *sharedBucket) float64 {
-	return bucket.unseen * float64(l.nodes-1) * unseenFor.Seconds() / unseenOver.Seconds()
+	if l.summed {
+		// One of many nodes admits too little to be a measure of the others.
+		return bucket.told * sumUnseen.Seconds() / unseenOver.Seconds()
+	}
+	return bucket.unseen * float64(min(l.nodes-1, likeOwnMost)) * unseenFor.Seconds() / unseenOver.Seconds()
 }
 
 // Refund gives back the cost of a request that did not run.
@@ -194,11 +219,16 @@
 	}
 	passed := max(min(now.Sub(bucket.at), refillMost), 0).Seconds()
 	bucket.at = now
-	bucket.unseen *= math.Exp(-passed / unseenOver.Seconds())
+	fade := math.Exp(-passed / unseenOver.Seconds())
+	bucket.unseen *= fade
+	bucket.told *= fade
 	bucket.level += rate * passed
-	even := rate / float64(l.nodes) * passed
+	even, silent := rate/float64(l.nodes)*passed, silentAfter
+	if l.summed {
+		even, silent = even*float64(l.nodes-1), sumSilent
+	}
 	for _, peer := range l.peers {
-		if now.Sub(peer.heard) > silentAfter {
+		if now.Sub(peer.heard) > silent {
 			peer.assumed[customer] += even
 			bucket.level -= even
 		}
--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -33,12 +33,18 @@
 	View    *view.View
 	Own     func() *Record // the node's record as it stands
 	Seeds   func() []string
+	Entries func() []Entry // nodes that are stored, this one included
+	// NeedsAll tells whether the node needs the records of all others though
+	// it is no hub; nil means never.
+	NeedsAll func() bool
 
-	client *http.Client
-	mu     sync.Mutex
-	peers  map[string]Cluster
-	busy   map[string]bool
-	round  int
+	client  *http.Client
+	mu      sync.Mutex
+	peers   map[string]Cluster
+	busy    map[string]bool
+	avoided map[string]time.Time // nodes that are no hubs, and until when
+	asked   time.Time            // when another node last asked for a summary
+	round   int
 }
 
 // Start makes the node ready once its public fields are set.
@@ -48,67 +54,117 @@
 	n.client = &http.Client{Transport: tr}
 	n.peers = map[string]Cluster{}
 	n.busy = map[string]bool{}
+	n.avoided = map[string]time.Time{}
 }
 
 // Run exchanges with peers until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, address := range n.targets() {
-			go n.Ask(ctx, address)
+		wait := interval
+		targets := n.targets()
+		if n.Large() {
+			wait = hubInterval
+			targets = n.hubTargets()
+		}
+		for _, one := range targets {
+			go n.ask(ctx, one)
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(interval + rand.N(interval/4)):
+		case <-time.After(wait + rand.N(wait/4)):
 		}
 	}
 }
 
-// targets chooses whom to ask in this round.
-func (n *Node) targets() []string {
+// Large tells whether the system is too large for all nodes to exchange with
+// all others.
+func (n *Node) Large() bool { return n.Entries != nil && len(n.Entries()) > flatMost }
+
+// Hub tells whether other nodes, or the duties, need this node to know all.
+func (n *Node) Hub() bool {
+	n.mu.Lock()
+	asked := time.Since(n.asked) < askedFor
+	n.mu.Unlock()
+	return asked || n.NeedsAll != nil && n.NeedsAll()
+}
+
+func (n *Node) hubTargets() []target {
+	own := n.Own()
+	return hubTargets(own.Node, own.FailureDomain, n.Entries(), n.avoid, n.Hub())
+}
+
+func (n *Node) avoid(node string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Now().Before(n.avoided[node])
+}
+
+// targets chooses whom to ask in this round in a small system.
+func (n *Node) targets() []target {
 	n.round++
 	own := n.Own()
-	var out []string
+	var addresses []string
 	others := n.Members.Others(forgetFor)
 	for _, r := range others {
-		out = append(out, r.Peers)
+		addresses = append(addresses, r.Peers)
 	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	out = out[:min(len(out), fanOut)]
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), fanOut)]
 	seeds := n.Seeds()
 	switch {
 	case len(others) < seedsBelow:
-		out = append(out, seeds...)
+		addresses = append(addresses, seeds...)
 	case n.round%seedEvery == 0 && len(seeds) > 0:
-		out = append(out, seeds[rand.IntN(len(seeds))])
+		addresses = append(addresses, seeds[rand.IntN(len(seeds))])
 	}
 	seen := map[string]bool{own.Peers: true}
-	kept := out[:0]
-	for _, address := range out {
+	var out []target
+	for _, address := range addresses {
 		if !seen[address] {
 			seen[address] = true
-			kept = append(kept, address)
+			out = append(out, target{address: address, scope: Scope_LACKING})
 		}
 	}
-	return kept
+	return out
 }
 
-// Ask exchanges with the peer at address; a call still open is not doubled.
+// Ask exchanges records with the peer at address.
 func (n *Node) Ask(ctx context.Context, address string) {
-	client, ok := n.claim(address)
+	n.ask(ctx, target{address: address, scope: Scope_LACKING})
+}
+
+// ask exchanges with a peer; a call still open is not doubled.
+func (n *Node) ask(ctx context.Context, to target) {
+	client, ok := n.claim(to.address)
 	if !ok {
 		return
 	}
-	defer n.release(address)
+	defer n.release(to.address)
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	sent := time.Now()
-	answer, err := client.Exchange(ctx, n.message(nil, ""))
+	answer, err := client.Exchange(ctx, n.question(to.scope))
+	if err != nil || answer.GetOwn().GetLeaving() {
+		n.setAvoided(to.node)
+	}
 	if err != nil {
-		klog.V(2).InfoS("peer_silent", "address", address, "err", err)
+		klog.V(2).InfoS("peer_silent", "address", to.address, "err", err)
 		return
 	}
 	middle := sent.Add(time.Since(sent) / 2)
 	n.take(answer, middle)
+	if answer.Summary != nil {
+		n.Members.TakeSummary(answer.Own.GetNode(), answer.Summary, middle)
+	}
+}
+
+func (n *Node) setAvoided(node string) {
+	if node == "" {
+		return
+	}
+	n.mu.Lock()
+	n.avoided[node] = time.Now().Add(avoidFor)
+	n.mu.Unlock()
 }
 
 func (n *Node) claim(address string) (Cluster, bool) {
@@ -135,30 +191,59 @@
 // Exchange answers a peer.
 func (n *Node) Exchange(_ context.Context, m *Message) (*Message, error) {
 	n.take(m, time.Now())
-	return n.message(m, m.GetOwn().GetNode()), nil
+	n.Members.TakeDirect(m.Own)
+	out := n.message()
+	switch m.Scope {
+	case Scope_SUMMARY:
+		n.mu.Lock()
+		n.asked = time.Now()
+		n.mu.Unlock()
+		out.Summary = n.Members.Summarize(m.GetOwn().GetNode(), time.Now())
+	case Scope_DIRECT:
+		out.Others = n.Members.Direct()
+	default:
+		out.Others = n.Members.Lacking(m.Known, m.GetOwn().GetNode(), relayMost)
+	}
+	if m.Complete < out.Complete {
+		n.addChanges(out, m.Complete)
+	}
+	return out, nil
 }
 
-// message makes a message; with what the peer said, also what it lacks.
-func (n *Node) message(from *Message, peer string) *Message {
+// message makes a message with what every message carries.
+func (n *Node) message() *Message {
 	own := n.Own()
 	n.Members.Take(own)
 	complete, _ := n.View.Complete()
-	out := &Message{Own: own, Known: n.Members.Known(), Complete: complete, WallUs: time.Now().UnixMicro()}
-	if from == nil {
-		return out
-	}
-	out.Known = nil
-	out.Others = n.Members.Lacking(from.Known, peer, relayMost)
-	if from.Complete < complete {
-		delta := n.View.Since(from.Complete)
-		out.Complete, out.Whole = delta.Complete, delta.Whole
-		for _, it := range delta.Items {
-			out.Items = append(out.Items, &Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
+	return &Message{Own: own, Complete: complete, WallUs: time.Now().UnixMicro()}
+}
+
+// question makes the message that asks a peer.
+func (n *Node) question(scope Scope) *Message {
+	out := n.message()
+	out.Scope = scope
+	switch scope {
+	case Scope_LACKING:
+		out.Known = n.Members.Known()
+	case Scope_DIRECT:
+		hub, _ := hubOf(n.Entries(), out.Own.FailureDomain, n.avoid)
+		if hub.Node != out.Own.Node {
+			// The domain's hub may not hear the nodes that ask here instead.
+			out.Others = n.Members.Direct()
 		}
 	}
 	return out
 }
 
+// addChanges adds what the receiver's copy of the store lacks.
+func (n *Node) addChanges(out *Message, from int64) {
+	delta := n.View.Since(from)
+	out.Complete, out.Whole = delta.Complete, delta.Whole
+	for _, it := range delta.Items {
+		out.Items = append(out.Items, &Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Deleted: it.Deleted})
+	}
+}
+
 func (n *Node) take(m *Message, at time.Time) {
 	n.Members.Take(m.Own)
 	for _, r := range m.Others {
--- a/src/cluster/members.go
+++ b/src/cluster/members.go
@@ -32,6 +32,11 @@
 	members map[string]Member
 	clocks  map[string]clock
 	now     func() time.Time
+	direct  map[string]time.Time // when a node's own message came last
+	past    map[string]float64   // by customer: admitted in lives of nodes that are over
+	sums    sums
+	heard   heard                // what the hub told last
+	callers map[string]time.Time // addresses for clients, and when a hub told them
 }
 
 // clock is how far a node's time of day is from this process's steady clock.
@@ -42,7 +47,10 @@
 
 // NewMembers returns the members as known to the node self, none yet.
 func NewMembers(self string, now func() time.Time) *Members {
-	return &Members{self: self, members: map[string]Member{}, clocks: map[string]clock{}, now: now}
+	return &Members{
+		self: self, members: map[string]Member{}, clocks: map[string]clock{}, now: now,
+		direct: map[string]time.Time{}, past: map[string]float64{}, callers: map[string]time.Time{},
+	}
 }
 
 func newer(a, b *Record) bool {
@@ -63,10 +71,48 @@
 	if ok && !newer(r, old.Record) {
 		return false
 	}
+	if ok && r.Incarnation != old.Record.Incarnation {
+		m.keepPast(old.Record)
+	}
 	m.members[r.Node] = Member{r, m.now()}
 	return true
 }
 
+// TakeDirect keeps the record of the node that sent it itself.
+func (m *Members) TakeDirect(r *Record) {
+	m.Take(r)
+	if name := r.GetNode(); name != "" {
+		m.mu.Lock()
+		m.direct[name] = m.now()
+		m.mu.Unlock()
+	}
+}
+
+// Direct returns the records of the nodes that exchange with this one.
+func (m *Members) Direct() []*Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*Record
+	for name, at := range m.direct {
+		if m.now().Sub(at) > aliveFor {
+			delete(m.direct, name)
+			continue
+		}
+		if member, ok := m.members[name]; ok && name != m.self {
+			out = append(out, member.Record)
+		}
+	}
+	return out
+}
+
+// keepPast adds what a life of a node that is over admitted, so that sums
+// over all nodes never fall.
+func (m *Members) keepPast(r *Record) {
+	for _, t := range r.Admitted {
+		m.past[t.Name] += t.Total
+	}
+}
+
 // Known lists the newest records by their sequence.
 func (m *Members) Known() []*Known {
 	m.mu.Lock()
@@ -112,6 +158,7 @@
 	for name, member := range m.members {
 		age := now.Sub(member.Heard)
 		if age > forgetFor {
+			m.keepPast(member.Record)
 			delete(m.members, name)
 			continue
 		}
@@ -134,7 +181,15 @@
 }
 
 // Count is the number of nodes among which limits are divided, this one included.
-func (m *Members) Count() int { return len(m.Others(countedFor)) + 1 }
+func (m *Members) Count() int {
+	known := len(m.Others(countedFor)) + 1
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.heard.summary != nil && m.now().Sub(m.heard.at) < countedFor {
+		return max(known, int(m.heard.summary.Nodes))
+	}
+	return known
+}
 
 // All returns every known member, this node's own record included.
 func (m *Members) All() []Member {
@@ -165,6 +220,9 @@
 func (m *Members) Agreed(at time.Time) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.heard.summary != nil && m.now().Sub(m.heard.at) < clockFor {
+		return m.steady(at).Add(m.heard.agreed)
+	}
 	offsets := []time.Duration{time.Now().Round(0).Sub(m.steady(time.Now()))}
 	for node, c := range m.clocks {
 		if node != m.self && at.Sub(c.at) < clockFor {
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -185,12 +185,17 @@
 	return out
 }
 
-// setElsewhere takes in what all other nodes together have at the servers.
-func (f *fleet) setElsewhere(loads map[string]remoteLoad) {
+// setElsewhere takes in what all other nodes together have at the servers, and
+// what they have at each server that is not told one by one.
+func (f *fleet) setElsewhere(loads map[string]remoteLoad, rest remoteLoad) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.servers {
-		s.elsewhere = loads[id]
+		load, ok := loads[id]
+		if !ok {
+			load = rest
+		}
+		s.elsewhere = load
 	}
 }
 
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -29,6 +29,7 @@
 	reply   *reply
 	avoid   map[string]bool
 	sends   int            // that reached a server or tried to
+	reached int            // that reached a server, or may have
 	runs    int            // that ran or may have run
 	counted bool           // in the usage
 	unread  int64          // tokens that count as waiting at the present server
@@ -53,7 +54,7 @@
 		if !ok {
 			return f.end(ctx, codeNoServer, noServerWait)
 		}
-		if f.sends > 0 && !n.budget.Spend(a.service, n.members.Count(), time.Now()) {
+		if f.reached > 0 && !n.budget.Spend(a.service, n.members.Count(), time.Now()) {
 			return f.end(ctx, codeRefused, refusedWait)
 		}
 		done, err := f.try(ctx, s, unread)
@@ -100,6 +101,9 @@
 	sent := n.send(ctx, a, s, lastEvent)
 	n.metrics.Sent(a.service, sent.fate.String())
 	defer sent.cancel()
+	if sent.fate != notSent {
+		f.reached++
+	}
 	switch sent.fate {
 	case notSent:
 		if ctx.Err() == nil {
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -83,6 +83,9 @@
 	servers  []*http.Server
 	metrics  *telemetry.Gateway
 	reloaded atomic.Pointer[Settings]
+
+	entryList atomic.Pointer[[]cluster.Entry]
+	decoded   map[string]decodedServer // by key; of the loop that applies changes
 }
 
 // New assembles a node.
@@ -99,7 +102,7 @@
 		ledger: duty.NewLedger(), metrics: metrics, scaler: newScaler(), beliefs: newBeliefs(time.Now), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
-	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds}
+	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds, Entries: n.entries, NeedsAll: n.holdsDuty}
 	n.peers.Start()
 	n.lease = duty.NewLease(n.store, leaseKey, set.Node, set.Duties.Lease, time.Now)
 	n.report = &duty.Usage{
@@ -122,7 +125,7 @@
 		n.metrics.Gauge("members", "nodes among which limits are divided", func() float64 { return float64(n.members.Count()) }),
 		n.metrics.Gauge("open_requests", "requests of clients in progress", func() float64 { return float64(n.open.Load()) }),
 		n.metrics.Gauge("duty_held", "1 while this node may act for the system", func() float64 {
-			if _, held := n.lease.Term(); held {
+			if n.holdsDuty() {
 				return 1
 			}
 			return 0
@@ -153,7 +156,7 @@
 		return err
 	}
 	klog.InfoS("started", "node", n.set.Node, "callers", n.set.Listen.Callers)
-	go n.view.Follow(work, n.store, "")
+	go n.view.Follow(work, sparingStore{n.store, n.fed}, "")
 	go n.peers.Run(work)
 	go n.applyLoop(work)
 	go process.Every(work, stepEvery, n.spread)
@@ -299,11 +302,7 @@
 	if !n.stopping() {
 		addresses = append(addresses, n.set.Listen.Callers)
 	}
-	for _, r := range n.members.Alive() {
-		if len(addresses) < addressesMost {
-			addresses = append(addresses, r.Callers)
-		}
-	}
+	addresses = append(addresses, n.members.Callers(addressesMost-1)...)
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/src/gateway/scale.go
+++ b/src/gateway/scale.go
@@ -82,7 +82,7 @@
 	now := time.Now()
 	var tokens, reading, running, measured float64
 	for _, m := range n.members.All() {
-		if now.Sub(m.Heard) > loadsFor {
+		if now.Sub(m.Heard) > cluster.LoadsFor {
 			continue
 		}
 		for _, d := range m.Record.Demands {
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -19,7 +19,8 @@
 
 // nodeEntry is what a node stores of itself, for others to find it.
 type nodeEntry struct {
-	Peers string `json:"peers"`
+	Peers         string `json:"peers"`
+	FailureDomain string `json:"failure_domain"`
 }
 
 func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
@@ -53,26 +54,27 @@
 
 // Times for which what a node told counts.
 const (
-	loadsFor  = 3 * time.Second  // its load at servers
 	sharesFor = 20 * time.Second // its share of customers' limits
 	youngFor  = 10 * time.Second // a younger process also counts nodes that it knows by their entry alone
+	fedFor    = 1500 * time.Millisecond
+	leadAfter = 5 * time.Second // a process of a large system that is no hub tries for the duties after
 )
 
-// spread takes in what the other nodes told.
+// spread takes in what the other nodes told, or what a hub told of them all.
 func (n *Node) spread() {
+	if summary, hub, at, ok := n.members.Summary(); ok && !n.peers.Hub() {
+		n.spreadSummary(summary, hub, at)
+		return
+	}
 	n.quota.SetNodes(n.sharers())
 	for _, m := range n.members.All() {
 		r := m.Record
 		if r.Node != n.set.Node {
-			totals := make(map[string]float64, len(r.Admitted))
-			for _, t := range r.Admitted {
-				totals[t.Name] = t.Total
-			}
-			n.quota.Heard(r.Node, r.Incarnation, totals, m.Heard)
+			n.quota.Heard(r.Node, r.Incarnation, totalsOf(r.Admitted), m.Heard)
 		}
 	}
 	elsewhere := map[string]remoteLoad{}
-	for _, r := range n.members.Others(loadsFor) {
+	for _, r := range n.members.Others(cluster.LoadsFor) {
 		for _, load := range r.Loads {
 			sum := elsewhere[load.Server]
 			sum.requests += int(load.Requests)
@@ -80,7 +82,28 @@
 			elsewhere[load.Server] = sum
 		}
 	}
-	n.fleet.setElsewhere(elsewhere)
+	n.fleet.setElsewhere(elsewhere, remoteLoad{})
+}
+
+func (n *Node) spreadSummary(s *cluster.Summary, hub string, at time.Time) {
+	n.quota.SetSum(hub, int(s.Nodes)-1)
+	n.quota.Heard(hub, sumIncarnation, totalsOf(s.Admitted), at)
+	elsewhere := make(map[string]remoteLoad, len(s.Heavy))
+	for _, load := range s.Heavy {
+		elsewhere[load.Server] = remoteLoad{int(load.Requests), load.UnreadTokens}
+	}
+	n.fleet.setElsewhere(elsewhere, remoteLoad{int(s.MeanRequests), int64(s.MeanUnread)})
+}
+
+// sumIncarnation stands for the lives of all nodes in a sum over them.
+const sumIncarnation = 1
+
+func totalsOf(admitted []*cluster.Tally) map[string]float64 {
+	totals := make(map[string]float64, len(admitted))
+	for _, t := range admitted {
+		totals[t.Name] = t.Total
+	}
+	return totals
 }
 
 // sharers are the other nodes among which customers' limits are divided.
@@ -92,9 +115,9 @@
 	if time.Since(n.began) > youngFor {
 		return names
 	}
-	for _, it := range n.view.List(nodePrefix) {
-		if name := strings.TrimPrefix(it.Key, nodePrefix); name != n.set.Node && !slices.Contains(names, name) {
-			names = append(names, name)
+	for _, e := range n.entries() {
+		if e.Node != n.set.Node && !slices.Contains(names, e.Node) {
+			names = append(names, e.Node)
 		}
 	}
 	return names
@@ -110,22 +133,49 @@
 			return
 		case <-changed:
 		}
+		// Changes that come close together are applied as one.
+		if !pause(ctx, applyPause) {
+			return
+		}
 	}
 }
 
+const applyPause = 10 * time.Millisecond
+
 func (n *Node) apply() {
 	if it, ok := n.view.Get(n.platform.ConfigKey()); ok {
 		n.applyConfig(it.Value, it.Revision)
 	}
-	var list []traffic.Server
-	for _, it := range n.view.List(n.platform.ServerPrefix()) {
-		s, err := n.platform.DecodeServer(it.Key, it.Value)
-		if err != nil {
-			klog.ErrorS(err, "server_entry_unreadable", "key", it.Key)
-			continue
+	n.applyServers()
+	n.applyEntries()
+}
+
+// decodedServer is a server's entry as it was decoded at a revision.
+type decodedServer struct {
+	revision int64
+	server   traffic.Server
+}
+
+// applyServers takes in the list of servers; entries that did not change are
+// not decoded again.
+func (n *Node) applyServers() {
+	items := n.view.List(n.platform.ServerPrefix())
+	list := make([]traffic.Server, 0, len(items))
+	decoded := make(map[string]decodedServer, len(items))
+	for _, it := range items {
+		known, ok := n.decoded[it.Key]
+		if !ok || known.revision != it.Revision {
+			s, err := n.platform.DecodeServer(it.Key, it.Value)
+			if err != nil {
+				klog.ErrorS(err, "server_entry_unreadable", "key", it.Key)
+				continue
+			}
+			known = decodedServer{it.Revision, s}
 		}
-		list = append(list, s)
+		decoded[it.Key] = known
+		list = append(list, known.server)
 	}
+	n.decoded = decoded
 	n.fleet.set(list)
 }
 
@@ -154,6 +204,9 @@
 		if !pause(ctx, backstopEvery+rand.N(backstopEvery/4)) {
 			return
 		}
+		if n.fed() {
+			continue
+		}
 		it, _, at, err := n.store.Get(ctx, n.platform.ConfigKey())
 		if err != nil || !pause(ctx, backstopGrace) {
 			continue
@@ -174,7 +227,7 @@
 func (n *Node) deafLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		before, _ := n.view.Complete()
-		if pause(ctx, backstopGrace) && n.view.CutIfDeaf(before) {
+		if pause(ctx, backstopGrace) && !n.fed() && n.view.CutIfDeaf(before) {
 			klog.InfoS("watch_cut", "complete", before)
 		}
 	}
@@ -192,7 +245,7 @@
 
 // registerLoop stores where this node is found, once the store lets it.
 func (n *Node) registerLoop(ctx context.Context) {
-	raw, err := json.Marshal(nodeEntry{Peers: n.set.Listen.Peers})
+	raw, err := json.Marshal(nodeEntry{Peers: n.set.Listen.Peers, FailureDomain: n.set.FailureDomain})
 	if err != nil {
 		return
 	}
@@ -217,20 +270,57 @@
 // seeds are addresses where other nodes may be found.
 func (n *Node) seeds() []string {
 	out := append([]string{}, n.settings().Seeds...)
-	for _, it := range n.view.List(nodePrefix) {
-		var e nodeEntry
-		if json.Unmarshal(it.Value, &e) == nil && !strings.HasSuffix(it.Key, "/"+n.set.Node) {
+	for _, e := range n.entries() {
+		if e.Node != n.set.Node {
 			out = append(out, e.Peers)
 		}
 	}
 	return out
 }
 
+// entries are the nodes that are stored.
+func (n *Node) entries() []cluster.Entry {
+	if known := n.entryList.Load(); known != nil {
+		return *known
+	}
+	return nil
+}
+
+func (n *Node) applyEntries() {
+	var out []cluster.Entry
+	for _, it := range n.view.List(nodePrefix) {
+		var e nodeEntry
+		if json.Unmarshal(it.Value, &e) == nil {
+			out = append(out, cluster.Entry{Node: strings.TrimPrefix(it.Key, nodePrefix), FailureDomain: e.FailureDomain, Peers: e.Peers})
+		}
+	}
+	n.entryList.Store(&out)
+}
+
+// fed tells whether a hub tells this node of changes of the store, so that it
+// needs no watch of its own.
+func (n *Node) fed() bool {
+	_, _, at, ok := n.members.Summary()
+	return ok && time.Since(at) < fedFor && n.peers.Large() && !n.peers.Hub()
+}
+
+// holdsDuty tells whether this node holds the lease of the duties.
+func (n *Node) holdsDuty() bool {
+	_, held := n.lease.Term()
+	return held
+}
+
+// mayLead tells whether this node tries for the lease of the duties: in a
+// large system the hubs do, and the others only when it stays free.
+func (n *Node) mayLead() bool {
+	return !n.peers.Large() || n.peers.Hub() || !n.fed() && time.Since(n.began) > leadAfter
+}
+
 // dutyLoop keeps the lease and does what its holder does.
 func (n *Node) dutyLoop(ctx context.Context) {
 	go process.Every(ctx, n.lease.Interval(), func() {
 		_, taken := n.view.Get(leaseKey)
-		n.lease.Step(ctx, taken)
+		n.lease.Step(ctx, taken || !n.mayLead())
 	})
 	go process.Every(ctx, stepEvery, func() { n.usageStep(ctx) })
 	if n.set.Duties.Scale {
--- a/test/gateway_bench_test.go
+++ b/test/gateway_bench_test.go
@@ -28,6 +28,7 @@
 	nodes   []*gatewayNode
 	version int
 	config  map[string]any
+	retries string // settings of the retry budget
 }
 
 type gatewayNode struct {
@@ -43,7 +44,7 @@
 )
 
 func newGatewayBench(t *testing.T) *gatewayBench {
-	b := &gatewayBench{t: t, is: is.New(t), store: fake.NewStore(), cloud: fake.NewCloud()}
+	b := &gatewayBench{t: t, is: is.New(t), store: fake.NewStore(), cloud: fake.NewCloud(), retries: "Bounds.RetryBudgetRatio=0.2\nBounds.ExtraRetries=50\n"}
 	t.Cleanup(b.store.Close)
 	t.Cleanup(b.cloud.Close)
 	b.config = map[string]any{
@@ -99,7 +100,7 @@
 		text += "ListenAddresses." + name + "=" + freeAddress(b.t) + "\n"
 	}
 	text += "PlatformSettings.Address=" + storeAddress + "\nCloudApi.Address=" + b.cloud.Address() + "\nCloudApi.Duties=usage_reporting\n" +
-		"Bounds.GracePeriodS=2\nBounds.LeaseMs=1000\nBounds.UsageWindowS=1\nBounds.UsageLateS=10\nBounds.RetryBudgetRatio=0.2\nBounds.ExtraRetries=50\nBounds.BudgetWindowS=10\n"
+		"Bounds.GracePeriodS=2\nBounds.LeaseMs=1000\nBounds.UsageWindowS=1\nBounds.UsageLateS=10\nBounds.BudgetWindowS=10\n" + b.retries
 	path := filepath.Join(b.t.TempDir(), "settings.conf")
 	b.is.NoErr(os.WriteFile(path, []byte(text), 0o600))
 	set, err := platform.Load(path)
--- a/test/gateway_test.go
+++ b/test/gateway_test.go
@@ -100,6 +100,22 @@
 	is.True(got.header.Get("Retry-After") != "")
 }
 
+func TestGatewayPassesServersByThatCannotBeReached(t *testing.T) {
+	b := newGatewayBench(t)
+	b.retries = "Bounds.RetryBudgetRatio=0\nBounds.ExtraRetries=0\n"
+	for _, id := range []string{"i-dead-1", "i-dead-2"} {
+		b.server(id).Close()
+	}
+	b.server("i-1")
+	n := b.start(b.store.Address())
+	b.listed(n, "p")
+	for i := range 30 {
+		// No byte reached a server before, so that this is no repeat.
+		got := n.ask(gatewayAsk{method: "POST", path: "/once/a", id: fmt.Sprintf("r%d", i), body: "x"})
+		b.is.Equal(got.status, http.StatusOK)
+	}
+}
+
 func TestGatewaySendsOnceWhatMayHaveRun(t *testing.T) {
 	is := is.New(t)
 	b := newGatewayBench(t)
