Hold limits in a large system where sums come late

A hub that began anew also told lower sums, which gave back what had been admitted. Now: a node that has admitted a hundredth of a second's rate tells its hub at once; near the limit a node uses at most two even shares; sums of another life of a hub are another source.

--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -8,13 +8,13 @@
 
 // Times of shared limits.
 const (
-	silentAfter = 700 * time.Millisecond  // a node not heard for longer is charged for by its even share
-	sumSilent   = 2 * time.Second         // the same for the sum over all other nodes, which a hub tells
-	sumUnseen   = 1500 * time.Millisecond // in which an admission reaches a node by way of hubs, about
-	refillMost  = 2 * time.Second         // most that counts as having passed between two looks
-	unseenFor   = 400 * time.Millisecond  // in which the others learn of an admission, about
-	unseenOver  = time.Second             // time constant of the mean that tells how much is unseen
-	likeOwnMost = 8                       // other nodes that are taken to admit what this one does
+	silentAfter = 700 * time.Millisecond // a node not heard for longer is charged for by its even share
+	sumSilent   = 2 * time.Second        // the same for the sum over all other nodes, which a hub tells
+	sumUnseen   = 600 * time.Millisecond // in which an admission reaches a node by way of hubs, about
+	refillMost  = 2 * time.Second        // most that counts as having passed between two looks
+	unseenFor   = 400 * time.Millisecond // in which the others learn of an admission, about
+	unseenOver  = time.Second            // time constant of the mean that tells how much is unseen
+	likeOwnMost = 8                      // other nodes that are taken to admit what this one does
 )
 
 // Tolerance is by how much a limit may be exceeded over a window; a part of
@@ -27,21 +27,26 @@
 
 // Parts of the tolerance that the buckets use.
 const (
+	urgentPart    = 0.01      // of a second's rate, admitted at one node
+	localBelow    = 0.5       // of the depth: while there is more, a node is not bound to its part
+	localDepth    = 0.3       // of a node's part of the depth, which it uses at once
 	depthPart     = 0.5       // of the burst that a bucket holds; the rest comes back over the window
 	depthSlack    = 0.25      // of the slack that a bucket holds as well
 	toleranceUsed = 0.4       // of overage and slack together
+	toleranceSum  = 0.15      // the same where the others are told of as one sum, which comes later
 	reservePart   = 0.1       // of the depth, left by each step of priority
 	reserveMost   = 0.45      // of the depth, at most
 	tinyPart      = 1.0 / 250 // of the depth, up to which a request weighs nothing beside others
 	tinyOverdraft = 0.25      // of the depth, which only tiny requests may overdraw
+	localShares   = 2.0       // even shares that one node uses at most where the others are told of as one sum
 )
 
 // bucketOf is the rate at which a bucket fills and its depth: over any window
 // they admit rate, burst and the used part of the tolerance, and no more.
-func (t Tolerance) bucketOf(rate, burst float64) (fill, depth float64) {
+func (t Tolerance) bucketOf(rate, burst, used float64) (fill, depth float64) {
 	window := t.Window.Seconds()
 	limit := rate*window + burst
-	most := limit + toleranceUsed*(t.Overage*limit+t.Slack)
+	most := limit + used*(t.Overage*limit+t.Slack)
 	depth = depthPart*burst + depthSlack*t.Slack
 	return (most - depth) / window, depth
 }
@@ -65,7 +70,9 @@
 	level  float64
 	at     time.Time
 	unseen float64 // own admissions of the last while, fading
+	untold float64 // own admissions since the own sums were last asked for
 	told   float64 // the others' admissions, as told in the last while, fading
+	local  float64 // what this node may still use before the sum shows it, where there is a sum
 }
 
 // peerTotals is what one node told of its running sums.
@@ -154,13 +161,14 @@
 	clear(peer.assumed)
 }
 
-// Totals returns the own running sums.
+// Totals returns the own running sums, to be told to the others.
 func (l *SharedLimiter) Totals() map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[string]float64, len(l.admit))
 	for customer, total := range l.admit {
 		out[customer] = total
+		l.buckets[customer].untold = 0
 	}
 	return out
 }
@@ -171,7 +179,11 @@
 func (l *SharedLimiter) Take(customer string, cost float64, priority int, rate, burst float64, now time.Time) (ok bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	fill, depth := l.over.bucketOf(rate, burst)
+	used := toleranceUsed
+	if l.summed {
+		used = toleranceSum
+	}
+	fill, depth := l.over.bucketOf(rate, burst, used)
 	bucket := l.refill(customer, fill, depth, now)
 	level := bucket.level - l.unseenElsewhere(bucket)
 	// The size of a request does not matter: a large one would find room less
@@ -183,12 +195,32 @@
 	if level < need {
 		return false, time.Duration((need - level) / fill * float64(time.Second))
 	}
+	if l.summed && level < localBelow*depth && bucket.local < 0 {
+		return false, time.Duration(-bucket.local / l.localPart(fill) * float64(time.Second))
+	}
 	bucket.level -= cost
+	bucket.local -= cost
 	bucket.unseen += cost
+	bucket.untold += cost
 	l.admit[customer] += cost
 	return true, 0
 }
 
+// Urgent tells whether this node has admitted so much of a customer's rate (a
+// second) since it last told its sums that the others should hear of it soon.
+func (l *SharedLimiter) Urgent(customer string, rate float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	bucket := l.buckets[customer]
+	return bucket != nil && bucket.untold > rate*urgentPart
+}
+
+// localPart is the part of a limit that this node uses at most. It bounds what
+// many nodes admit together before a sum tells them of each other.
+func (l *SharedLimiter) localPart(whole float64) float64 {
+	return localShares * whole / float64(l.nodes)
+}
+
 // unseenElsewhere estimates what the others have admitted and not told yet:
 // they are taken to admit as much as this node did over the last while, or as
 // they told where they are told of as one sum.
@@ -206,6 +238,7 @@
 	defer l.mu.Unlock()
 	if bucket := l.buckets[customer]; bucket != nil {
 		bucket.level += cost
+		bucket.local += cost
 		bucket.unseen = max(bucket.unseen-cost, 0)
 		l.admit[customer] -= cost
 	}
@@ -234,5 +267,6 @@
 		}
 	}
 	bucket.level = min(bucket.level, burst)
+	bucket.local = min(bucket.local+l.localPart(rate)*passed, localDepth*l.localPart(burst))
 	return bucket
 }
--- a/src/admit/shared_test.go
+++ b/src/admit/shared_test.go
@@ -42,20 +42,23 @@
 				}
 			}
 		}
-		most := (rate*window.Seconds()+burst)*1.1 + slack
-		perWindow := int(window / step)
-		for from := 0; from+perWindow <= steps; from++ {
-			sum := 0.0
-			for _, count := range admitted[from : from+perWindow] {
-				sum += count
-			}
-			if sum > most {
-				t.Fatalf("%g admitted in a window, at most %g", sum, most)
-			}
-		}
+		checkWindows(t, admitted, int(window/step), (rate*window.Seconds()+burst)*1.1+slack)
 	})
 }
 
+// checkWindows fails when more than most was admitted in any window.
+func checkWindows(t *rapid.T, admitted []float64, perWindow int, most float64) {
+	for from := 0; from+perWindow <= len(admitted); from++ {
+		sum := 0.0
+		for _, count := range admitted[from : from+perWindow] {
+			sum += count
+		}
+		if sum > most {
+			t.Fatalf("%g admitted in a window, at most %g", sum, most)
+		}
+	}
+}
+
 func othersOf(self, nodes int) []string {
 	var out []string
 	for i := range nodes {
@@ -166,3 +169,65 @@
 		is.True(ok)
 	}
 }
+
+func TestSharedLimitHoldsWhereASumTellsOfManyNodes(t *testing.T) {
+	const (
+		rate, burst, slack = 40000.0, 40000.0, 4500.0
+		cost               = 200.0
+		window             = 8 * time.Second
+		step               = 50 * time.Millisecond
+		steps              = 400
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(17, 60).Draw(t, "nodes")
+		lag := rapid.IntRange(2, 6).Draw(t, "steps between two sums")
+		surge := rapid.IntRange(0, steps/2).Draw(t, "step at which the load rises")
+		load := rapid.Float64Range(0.5, 5).Draw(t, "asked from then on, as a multiple of the limit")
+		over := Tolerance{Window: window, Overage: 0.1, Slack: slack}
+		limiters := make([]*SharedLimiter, nodes)
+		for i := range limiters {
+			limiters[i] = NewSharedLimiter(sharedStart, over)
+			limiters[i].SetSum("hub", nodes-1)
+		}
+		admitted := make([]float64, steps)
+		var sums []float64
+		for at := range steps {
+			now := sharedStart.Add(time.Duration(at) * step)
+			if at%lag == 0 {
+				// What is told was gathered a while ago.
+				tellSums(limiters, sums, now)
+				sums = sumsOf(limiters)
+			}
+			asked := 0.5
+			if at >= surge {
+				asked = load
+			}
+			for range int(asked * rate * step.Seconds() / cost) {
+				i := rapid.IntRange(0, nodes-1).Draw(t, "node")
+				if ok, _ := limiters[i].Take("c", cost, 0, rate, burst, now); ok {
+					admitted[at] += cost
+				}
+			}
+		}
+		checkWindows(t, admitted, int(window/step), (rate*window.Seconds()+burst)*1.1+slack)
+	})
+}
+
+// sumsOf is what all the others of each limiter have admitted.
+func sumsOf(limiters []*SharedLimiter) []float64 {
+	all := 0.0
+	for _, l := range limiters {
+		all += l.Totals()["c"]
+	}
+	var out []float64
+	for _, l := range limiters {
+		out = append(out, all-l.Totals()["c"])
+	}
+	return out
+}
+
+func tellSums(limiters []*SharedLimiter, sums []float64, now time.Time) {
+	for i, sum := range sums {
+		limiters[i].Heard("hub", 1, map[string]float64{"c": sum}, now)
+	}
+}
--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -43,7 +43,8 @@
 	peers   map[string]Cluster
 	busy    map[string]bool
 	avoided map[string]time.Time // nodes that are no hubs, and until when
-	asked   time.Time            // when another node last asked for a summary
+	nudged  chan struct{}
+	asked   time.Time // when another node last asked for a summary
 	round   int
 }
 
@@ -55,27 +56,57 @@
 	n.peers = map[string]Cluster{}
 	n.busy = map[string]bool{}
 	n.avoided = map[string]time.Time{}
+	n.nudged = make(chan struct{}, 1)
 }
 
 // Run exchanges with peers until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := interval
+		large := n.Large()
 		targets := n.targets()
-		if n.Large() {
-			wait = hubInterval
+		if large {
 			targets = n.hubTargets()
+			if !n.Hub() {
+				wait = nodeInterval
+			}
 		}
 		for _, one := range targets {
 			go n.ask(ctx, one)
 		}
+		n.rest(ctx, wait+rand.N(wait/4), large)
+	}
+}
+
+// rest waits until the next round. In a large system there may be a reason
+// for it to come sooner.
+func (n *Node) rest(ctx context.Context, wait time.Duration, sooner bool) {
+	began := time.Now()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	nudged := n.nudged
+	if !sooner {
+		nudged = nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-nudged:
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait + rand.N(wait/4)):
+		case <-time.After(time.Until(began.Add(soonest))):
 		}
 	}
 }
 
+// Nudge lets the next round of a large system come soon.
+func (n *Node) Nudge() {
+	select {
+	case n.nudged <- struct{}{}:
+	default: // one is waiting already
+	}
+}
+
 // Large tells whether the system is too large for all nodes to exchange with
 // all others.
 func (n *Node) Large() bool { return n.Entries != nil && len(n.Entries()) > flatMost }
@@ -154,7 +185,7 @@
 	middle := sent.Add(time.Since(sent) / 2)
 	n.take(answer, middle)
 	if answer.Summary != nil {
-		n.Members.TakeSummary(answer.Own.GetNode(), answer.Summary, middle)
+		n.Members.TakeSummary(answer.Own, answer.Summary, middle)
 	}
 }
 
--- a/src/cluster/hub.go
+++ b/src/cluster/hub.go
@@ -12,10 +12,11 @@
 // to the hub of its failure domain and is told sums; the hubs exchange the
 // records that they were told. Any node is a hub as soon as others ask it.
 const (
-	flatMost    = 16 // nodes of a small system
-	hubInterval = 500 * time.Millisecond
-	askedFor    = 3 * time.Second // after it was asked for a summary a node acts as a hub
-	avoidFor    = 3 * time.Second // after a call that failed a node is not chosen as a hub
+	flatMost     = 16                     // nodes of a small system
+	nodeInterval = 500 * time.Millisecond // between the rounds of a node that is no hub
+	soonest      = 60 * time.Millisecond  // between two rounds of which one comes early
+	askedFor     = 3 * time.Second        // after it was asked for a summary a node acts as a hub
+	avoidFor     = 3 * time.Second        // after a call that failed a node is not chosen as a hub
 )
 
 // Entry is where a node is found, as the node stored it.
--- a/src/cluster/hub_test.go
+++ b/src/cluster/hub_test.go
@@ -145,7 +145,7 @@
 		}
 		s, hub, _, ok := node.Members.Summary()
 		is.True(ok)
-		is.True(hub != first.Node)
+		is.True(!strings.HasPrefix(hub, first.Node+"/"))
 		is.True(int(s.Nodes) >= len(f.nodes)-1)
 	}
 }
--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,11 +10,11 @@
 
 // Bounds of summaries.
 const (
-	LoadsFor     = 3 * time.Second // for which a node's loads and demands count
-	summaryFor   = 3 * time.Second // for which a summary counts
-	sumsFor      = 200 * time.Millisecond
-	heavyMost    = 64 // servers told one by one
-	callersTold  = 32 // addresses in one summary
+	LoadsFor     = 3 * time.Second       // for which a node's loads and demands count
+	summaryFor   = 3 * time.Second       // for which a summary counts
+	sumsFor      = 50 * time.Millisecond // for which sums serve several summaries
+	heavyMost    = 64                    // servers told one by one
+	callersTold  = 32                    // addresses in one summary
 	callersKept  = 64
 	callersFresh = 3 * time.Second
 )
@@ -41,7 +42,7 @@
 	agreed  time.Duration // of the hub's agreed time from the own steady time line
 }
 
-// Summary returns what the hub told last, and which hub; ok is false when that
+// Summary returns what the hub told last, and which life of which hub; ok is false when that
 // is too long ago.
 func (m *Members) Summary() (summary *Summary, hub string, at time.Time, ok bool) {
 	m.mu.Lock()
@@ -51,9 +52,11 @@
 }
 
 // TakeSummary keeps what a hub told at a moment.
-func (m *Members) TakeSummary(hub string, s *Summary, at time.Time) {
+func (m *Members) TakeSummary(from *Record, s *Summary, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// A hub that began anew knows nothing of before: its sums are others.
+	hub := fmt.Sprintf("%s/%d", from.GetNode(), from.GetIncarnation())
 	m.heard = heard{s, hub, m.now(), time.UnixMicro(s.AgreedUs).Sub(m.steady(at))}
 	for _, address := range s.Callers {
 		m.callers[address] = m.now()
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -238,6 +238,9 @@
 		if ok, wait := n.quota.Take(c.Name, a.cost(), a.priority, c.Rate, c.Burst, time.Now()); !ok {
 			return &refusal{status: http.StatusTooManyRequests, code: codeQuota, wait: wait}
 		}
+		if n.quota.Urgent(c.Name, c.Rate) {
+			n.peers.Nudge()
+		}
 	}
 	return n.forward(w, a)
 }
