One maker of instruments; times of the retry budget from a clock that does not step

Also: WindowBudget asked for moments of a clock that does not step and took their wall part, so that a step of the clock forgot a window of repeats; it takes the time since the process began now. New for on-call engineers: histograms of the time before the first send and of the pauses within streams.

--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -34,6 +34,7 @@
 	counted bool           // in the usage
 	unread  int64          // tokens that count as waiting at the present server
 	begun   bool           // the first event of the present server has come
+	passed  time.Time      // when events were passed on last
 	last    *http.Response // a server's own failure, kept in case no better answer comes
 	lastRaw []byte
 }
@@ -45,7 +46,7 @@
 	ctx, cancel := context.WithDeadline(a.request.Context(), a.deadline)
 	defer cancel()
 	f := &flight{n: n, a: a, reply: &reply{writer: w}, avoid: map[string]bool{}}
-	n.budget.Earn(a.service, a.arrived)
+	n.budget.Earn(a.service, a.arrived.Sub(n.began))
 	if unshared := a.unshared(); unshared > 0 {
 		n.scaler.meter(a.service).Ask(unshared, a.arrived)
 	}
@@ -54,7 +55,7 @@
 		if !ok {
 			return f.end(ctx, codeNoServer, noServerWait)
 		}
-		if f.reached > 0 && !n.budget.Spend(a.service, n.members.Count(), time.Now()) {
+		if f.reached > 0 && !n.budget.Spend(a.service, n.members.Count(), time.Since(n.began)) {
 			return f.end(ctx, codeRefused, refusedWait)
 		}
 		done, err := f.try(ctx, s, unread)
@@ -91,11 +92,14 @@
 // has its whole answer.
 func (f *flight) try(ctx context.Context, s *server, unread int64) (done bool, err error) {
 	n, a := f.n, f.a
+	if f.sends == 0 {
+		n.metrics.Added(a.route.Name, time.Since(a.arrived))
+	}
 	f.sends++
 	f.unread, f.begun = unread, false
 	n.fleet.begin(s, f.unread)
 	defer n.fleet.end(s)
-	defer f.firstEvent(s)
+	defer f.promptRead(s)
 	lastEvent := f.reply.lastEvent
 	began := time.Now()
 	sent := n.send(ctx, a, s, lastEvent)
@@ -126,18 +130,7 @@
 	f.runs++
 	defer func() { _ = sent.answer.Body.Close() }()
 	if isEventStream(sent.answer) {
-		err = f.reply.stream(sent.answer, n.stopping(), func() {
-			if !f.begun {
-				f.begun = true
-				if a.ahead < a.unshared()/aheadPart {
-					n.scaler.meter(a.service).Read(a.unshared(), time.Since(began))
-				}
-				n.beliefs.read(s.ID, a.parts)
-				n.metrics.FirstEvent(a.route.Name, time.Since(a.arrived))
-			}
-			f.firstEvent(s)
-			f.ran()
-		})
+		err = f.reply.stream(sent.answer, n.stopping(), func() { f.passing(s, began) })
 	} else {
 		f.ran()
 		done, err = f.plain(sent.answer, s)
@@ -179,8 +172,26 @@
 	return err == nil, err
 }
 
-// firstEvent takes the prompt off what the server has still to read, once.
-func (f *flight) firstEvent(s *server) {
+// passing notes that events of a server, asked when began was, are passed on.
+func (f *flight) passing(s *server, began time.Time) {
+	n, a, now := f.n, f.a, time.Now()
+	if f.begun {
+		n.metrics.Gap(now.Sub(f.passed))
+	} else {
+		f.begun = true
+		if a.ahead < a.unshared()/aheadPart {
+			n.scaler.meter(a.service).Read(a.unshared(), now.Sub(began))
+		}
+		n.beliefs.read(s.ID, a.parts)
+		n.metrics.FirstEvent(a.route.Name, now.Sub(a.arrived))
+	}
+	f.passed = now
+	f.promptRead(s)
+	f.ran()
+}
+
+// promptRead takes the prompt off what the server has still to read, once.
+func (f *flight) promptRead(s *server) {
 	if f.unread != 0 {
 		f.n.fleet.read(s, f.unread)
 		f.unread = 0
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -79,9 +79,9 @@
 	return err
 }
 
-// stream passes events on as they come, each as a whole. first is called with
-// the first event.
-func (p *reply) stream(answer *http.Response, closing bool, first func()) error {
+// stream passes events on as they come, each as a whole. passing is called
+// whenever some are passed on.
+func (p *reply) stream(answer *http.Response, closing bool, passing func()) error {
 	flusher := http.NewResponseController(p.writer)
 	var pending []byte
 	buffer := make([]byte, readBytes)
@@ -90,7 +90,7 @@
 		pending = append(pending, buffer[:count]...)
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			end += len(eventEnd)
-			first()
+			passing()
 			p.head(answer, false, closing)
 			p.note(pending[:end])
 			if _, werr := p.writer.Write(pending[:end]); werr != nil {
--- a/src/request/window.go
+++ b/src/request/window.go
@@ -41,13 +41,14 @@
 	b.mu.Unlock()
 }
 
-func (b *WindowBudget) slot(service string, now time.Time) *windowSlot {
+// slot is where what happens now is counted.
+func (b *WindowBudget) slot(service string, now time.Duration) *windowSlot {
 	ring := b.slots[service]
 	if ring == nil {
 		ring = &[windowSlots + 1]windowSlot{}
 		b.slots[service] = ring
 	}
-	number := now.UnixNano() / int64(b.window/windowSlots)
+	number := int64(now / (b.window / windowSlots))
 	s := &ring[number%(windowSlots+1)]
 	if s.number != number {
 		*s = windowSlot{number: number}
@@ -55,16 +56,16 @@
 	return s
 }
 
-// Earn counts a request for a service. The moment must not be taken from a
-// clock that steps.
-func (b *WindowBudget) Earn(service string, now time.Time) {
+// Earn counts a request for a service. Moments are given as the time since the
+// process began, which no step of the clock moves.
+func (b *WindowBudget) Earn(service string, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.slot(service, now).requests++
 }
 
 // Spend takes one repeat when this node's share, among so many nodes, has one left.
-func (b *WindowBudget) Spend(service string, nodes int, now time.Time) bool {
+func (b *WindowBudget) Spend(service string, nodes int, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.slot(service, now)
--- a/src/request/window_test.go
+++ b/src/request/window_test.go
@@ -21,9 +21,8 @@
 		}
 		steps := rapid.IntRange(50, 300).Draw(t, "steps")
 		requests, repeats := make([]float64, steps), make([]float64, steps)
-		start := time.Unix(1000, 0)
 		for at := range steps {
-			now := start.Add(time.Duration(at) * step)
+			now := time.Duration(at) * step
 			for range rapid.IntRange(0, 4).Draw(t, "requests") {
 				budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")].Earn("s", now)
 				requests[at]++
--- a/src/telemetry/metrics.go
+++ b/src/telemetry/metrics.go
@@ -7,12 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"go.opentelemetry.io/otel/attribute"
-	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
 )
 
 // Metrics are the instruments of a process. docs/OPERATING.md tells how to read them.
@@ -30,63 +25,31 @@
 	planner    metric.Int64Counter
 }
 
-var secondsBounds = []float64{.0005, .001, .002, .005, .01, .02, .031, .05, .1, .2, .4, .81, 1.5, 3, 6, 12, 30}
-
 // NewMetrics returns the instruments and their Prometheus endpoint.
 func NewMetrics(process string) (*Metrics, error) {
-	reg := prometheus.NewRegistry()
-	exp, err := otelprom.New(otelprom.WithRegisterer(reg), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	made, err := newInstruments(process, "crankridge_")
 	if err != nil {
 		return nil, err
 	}
-	meter := sdk.NewMeterProvider(sdk.WithReader(exp)).Meter(process)
-	m := &Metrics{handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{})}
-	return m, m.make(meter)
-}
-
-func (m *Metrics) make(meter metric.Meter) (err error) {
-	counter := func(name, what string) metric.Int64Counter {
-		c, e := meter.Int64Counter("crankridge_"+name, metric.WithDescription(what))
-		err = firstError(err, e)
-		return c
-	}
-	seconds := func(name, what string) metric.Float64Histogram {
-		h, e := meter.Float64Histogram("crankridge_"+name, metric.WithDescription(what), metric.WithUnit("s"),
-			metric.WithExplicitBucketBoundaries(secondsBounds...))
-		err = firstError(err, e)
-		return h
-	}
-	m.requests = counter("requests", "requests ended, by kind and outcome")
-	m.firstToken = seconds("first_token", "time from a request's arrival to its first token")
-	m.added = seconds("added", "time a request spent here before it was sent on")
-	m.between = seconds("between_tokens", "time between two tokens of a stream")
-	m.recomputed = counter("tokens_recomputed", "prompt and answer tokens computed again, by cause")
-	m.carried = counter("tokens_carried", "tokens of prompt and answer with which a moved stream went on, by cause")
-	m.claims = counter("claims", "claims of requests not repeatable, by result")
-	m.moves = counter("moves", "streams whose upstream left, by what was done")
-	m.dropped = counter("dropped", "late or superseded messages dropped, by kind")
-	m.planner = counter("planner_actions", "planner actions, by kind and result")
-	return err
-}
-
-func firstError(a, b error) error {
-	if a != nil {
-		return a
+	m := &Metrics{
+		handler:    made.handler,
+		requests:   made.counter("requests", "requests ended, by kind and outcome"),
+		firstToken: made.seconds("first_token", "time from a request's arrival to its first token"),
+		added:      made.seconds("added", "time a request spent here before it was sent on"),
+		between:    made.seconds("between_tokens", "time between two tokens of a stream"),
+		recomputed: made.counter("tokens_recomputed", "prompt and answer tokens computed again, by cause"),
+		carried:    made.counter("tokens_carried", "tokens of prompt and answer with which a moved stream went on, by cause"),
+		claims:     made.counter("claims", "claims of requests not repeatable, by result"),
+		moves:      made.counter("moves", "streams whose upstream left, by what was done"),
+		dropped:    made.counter("dropped", "late or superseded messages dropped, by kind"),
+		planner:    made.counter("planner_actions", "planner actions, by kind and result"),
 	}
-	return b
+	return m, made.err
 }
 
 // Handler serves the Prometheus endpoint.
 func (m *Metrics) Handler() http.Handler { return m.handler }
 
-func attrs(kv ...string) metric.MeasurementOption {
-	out := make([]attribute.KeyValue, 0, len(kv)/2)
-	for i := 0; i+1 < len(kv); i += 2 {
-		out = append(out, attribute.String(kv[i], kv[i+1]))
-	}
-	return metric.WithAttributes(out...)
-}
-
 // Request counts an ended request.
 func (m *Metrics) Request(kind, outcome string) {
 	m.requests.Add(context.Background(), 1, attrs("kind", kind, "outcome", outcome))
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -24,6 +24,8 @@
 // overlap. CI plays soakSeedsCI; SOAK_SEEDS and SOAK_SECONDS play more by hand.
 const (
 	soakNodes   = 4
+	soakMany    = 20 // nodes of every fifth seed: more than exchange with all others
+	soakDomains = 2
 	soakServers = 4
 	soakClients = 8
 	soakSeconds = 6
@@ -74,7 +76,8 @@
 		count, _ = strconv.Atoi(text)
 	}
 	for range count {
-		seeds = append(seeds, rand.Uint64())
+		seed := rand.Uint64()
+		seeds = append(seeds, seed, seed-seed%5)
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { playSoak(t, seed) })
@@ -86,7 +89,7 @@
 	for i := range soakServers {
 		s.addServer(fmt.Sprint("i-", i))
 	}
-	for i := range soakNodes {
+	for i := range nodesOf(seed) {
 		s.addNode(i)
 	}
 	for _, p := range s.procs {
@@ -127,6 +130,14 @@
 	}
 }
 
+// nodesOf is how many nodes a seed plays with; CI plays both sizes.
+func nodesOf(seed uint64) int {
+	if seed%5 == 0 {
+		return soakMany
+	}
+	return soakNodes
+}
+
 func (s *soak) pick(n int) int {
 	s.rngMu.Lock()
 	defer s.rngMu.Unlock()
@@ -159,9 +170,9 @@
 	for _, other := range s.procs {
 		seeds = append(seeds, other.control)
 	}
-	p.settings = fmt.Sprintf("NodeName=node-%d\nZone=zone-1\nRegion=here\nSeedNodes=%s\nListenAddresses.Front=%s\nListenAddresses.Ready=%s\nListenAddresses.Control=%s\n"+
+	p.settings = fmt.Sprintf("NodeName=node-%d\nZone=zone-%d\nRegion=here\nSeedNodes=%s\nListenAddresses.Front=%s\nListenAddresses.Ready=%s\nListenAddresses.Control=%s\n"+
 		"PlatformSettings.Address=%s\nCloudApi.Address=%s\nCloudApi.Duties=usage_reporting\nBounds.GracePeriodS=3\nBounds.LeaseMs=1500\nBounds.UsageWindowS=1\nBounds.UsageLateS=10\n"+
-		"Bounds.RetryBudgetRatio=0.2\nBounds.ExtraRetries=50\nBounds.BudgetWindowS=10\n", i, strings.Join(seeds[:min(len(seeds), 3)], ","), p.front, p.ready, p.control, p.store.addr, s.cloud.Address())
+		"Bounds.RetryBudgetRatio=0.2\nBounds.ExtraRetries=50\nBounds.BudgetWindowS=10\n", i, i%soakDomains+1, strings.Join(seeds[:min(len(seeds), 3)], ","), p.front, p.ready, p.control, p.store.addr, s.cloud.Address())
 	path := filepath.Join(s.dir, fmt.Sprintf("node-%d.conf", i))
 	s.is.NoErr(os.WriteFile(path, []byte(p.settings), 0o600))
 	p.proc = &proc{t: s.t, name: fmt.Sprint("node-", i), path: path, log: path + ".log"}
