--- a/src/capacity/plan.go
+++ b/src/capacity/plan.go
@@ -24,7 +24,7 @@
 }
 
 // SupplyOf counts the servers that serve, by failure domain.
-func SupplyOf(servers []traffic.Server) map[string]Supply {
+func SupplyOf(servers []traffic.Upstream) map[string]Supply {
 	out := map[string]Supply{}
 	for _, s := range servers {
 		if s.Draining {
@@ -43,7 +43,7 @@
 
 // Standing is the need that the servers that are there were bought for. At the
 // first start of the system they were not bought by a plan.
-func Standing(servers []traffic.Server, first bool) int {
+func Standing(servers []traffic.Upstream, first bool) int {
 	serving := 0
 	for _, s := range servers {
 		if !s.Draining {
--- a/src/capacity/plan_test.go
+++ b/src/capacity/plan_test.go
@@ -88,16 +88,16 @@
 	need := 20
 	for range 5 { // each time, all holders are lost and the demand is not known
 		onDemand, spot := totals(Plan("s", scaling, Need{Servers: need}, map[string]Supply{"d0": {Spot: 10}, "d1": {Spot: 10}, "d2": {Spot: 10}, "d3": {Spot: 10}}))
-		var servers []traffic.Server
+		var servers []traffic.Upstream
 		for range onDemand + spot {
-			servers = append(servers, traffic.Server{})
+			servers = append(servers, traffic.Upstream{})
 		}
-		servers = append(servers, traffic.Server{Draining: true})
+		servers = append(servers, traffic.Upstream{Draining: true})
 		need = Standing(servers, false)
 		is.True(need <= 20)
 		is.True(need >= 17)
 	}
-	is.Equal(Standing(make([]traffic.Server, 18), true), 18)
+	is.Equal(Standing(make([]traffic.Upstream, 18), true), 18)
 }
 
 func TestNeedHoldsThoughSomePromptsAreReadAtOnce(t *testing.T) {
--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -24,12 +24,15 @@
 	at       time.Time
 	records  map[string]*Record // that were summed up, by node
 	admitted map[string]float64 // by customer, past lives included
-	loads    map[string]serverLoad
-	callers  []string
+	heavy    []serverLoad       // servers with the most tokens to read and requests
+	// Means of the servers that are not among the heavy ones.
+	meanRequests, meanUnread float32
+	callers                  []string
 }
 
 // serverLoad is what nodes together have at a server.
 type serverLoad struct {
+	server   string
 	requests int32
 	unread   int64 // prompt tokens
 }
@@ -102,7 +105,8 @@
 	for customer, total := range m.sums.admitted {
 		out.Admitted = append(out.Admitted, &Tally{Name: customer, Total: total - admitted[customer]})
 	}
-	out.Heavy, out.MeanRequests, out.MeanUnread = heaviest(m.sums.loads, own.GetLoads())
+	out.Heavy = without(m.sums.heavy, own.GetLoads())
+	out.MeanRequests, out.MeanUnread = m.sums.meanRequests, m.sums.meanUnread
 	for range min(callersTold, len(m.sums.callers)) {
 		out.Callers = append(out.Callers, m.sums.callers[rand.IntN(len(m.sums.callers))])
 	}
@@ -112,7 +116,8 @@
 // sum adds up the records of all members.
 func (m *Members) sum() sums {
 	now := m.now()
-	out := sums{at: now, records: map[string]*Record{}, admitted: map[string]float64{}, loads: map[string]serverLoad{}}
+	out := sums{at: now, records: map[string]*Record{}, admitted: map[string]float64{}}
+	loads := map[string]serverLoad{}
 	for customer, total := range m.past {
 		out.admitted[customer] = total
 	}
@@ -132,38 +137,49 @@
 			continue
 		}
 		for _, load := range r.Loads {
-			sum := out.loads[load.Server]
+			sum := loads[load.Server]
 			sum.requests += load.Requests
 			sum.unread += load.UnreadTokens
-			out.loads[load.Server] = sum
+			loads[load.Server] = sum
 		}
 	}
+	out.heavy, out.meanRequests, out.meanUnread = heaviest(loads)
 	return out
 }
 
-// heaviest returns the servers with the most tokens to read and requests,
-// without the asker's own, and the mean of the others that have any.
-func heaviest(loads map[string]serverLoad, own []*Load) (heavy []*Load, requests, unread float32) {
-	all := make([]*Load, 0, len(loads))
+// heaviest returns the servers with the most tokens to read and requests, and
+// the mean of the others that have any.
+func heaviest(loads map[string]serverLoad) (heavy []serverLoad, requests, unread float32) {
+	all := make([]serverLoad, 0, len(loads))
 	for id, load := range loads {
-		all = append(all, &Load{Server: id, Requests: load.requests, UnreadTokens: load.unread})
+		load.server = id
+		all = append(all, load)
 	}
-	slices.SortFunc(all, func(a, b *Load) int {
-		return cmp.Or(cmp.Compare(b.UnreadTokens, a.UnreadTokens), cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Server, b.Server))
+	slices.SortFunc(all, func(a, b serverLoad) int {
+		return cmp.Or(cmp.Compare(b.unread, a.unread), cmp.Compare(b.requests, a.requests), cmp.Compare(a.server, b.server))
 	})
 	heavy = all[:min(len(all), heavyMost)]
 	rest := all[len(heavy):]
 	for _, load := range rest {
-		requests += float32(load.Requests) / float32(len(rest))
-		unread += float32(load.UnreadTokens) / float32(len(rest))
-	}
-	for _, mine := range own {
-		for _, load := range heavy {
-			if load.Server == mine.Server {
-				load.Requests = max(load.Requests-mine.Requests, 0)
-				load.UnreadTokens = max(load.UnreadTokens-mine.UnreadTokens, 0)
-			}
-		}
+		requests += float32(load.requests) / float32(len(rest))
+		unread += float32(load.unread) / float32(len(rest))
 	}
 	return heavy, requests, unread
 }
+
+// without returns the loads without a node's own part of them.
+func without(heavy []serverLoad, own []*Load) []*Load {
+	mine := make(map[string]*Load, len(own))
+	for _, load := range own {
+		mine[load.Server] = load
+	}
+	out := make([]*Load, 0, len(heavy))
+	for _, load := range heavy {
+		out = append(out, &Load{
+			Server:       load.server,
+			Requests:     max(load.requests-mine[load.server].GetRequests(), 0),
+			UnreadTokens: max(load.unread-mine[load.server].GetUnreadTokens(), 0),
+		})
+	}
+	return out
+}
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -18,7 +18,7 @@
 
 // candidate is a server that may take a request, with its load at all nodes.
 type candidate struct {
-	server   *server
+	upstream *upstream
 	id       string
 	domain   string
 	slots    int
@@ -111,8 +111,10 @@
 		home = homeOf(list, p.parts[len(p.parts)-2].id).id
 	}
 	least := math.Inf(1)
-	for _, i := range rng.Perm(len(list)) {
-		c := list[i]
+	// The one to look at first differs, so that nodes do not all choose the same of equals.
+	first := rng.IntN(len(list))
+	for i := range list {
+		c := list[(first+i)%len(list)]
 		tokens := p.unread(c, home)
 		work := float64(c.unread) + readWeight*float64(tokens) + requestTokens*c.load()
 		if work < least || work == least && c.domain == domain {
--- a/src/gateway/choose_test.go
+++ b/src/gateway/choose_test.go
@@ -10,10 +10,10 @@
 	"github.com/crankridge/crankridge/src/traffic"
 )
 
-func engines(ids ...string) []traffic.Server {
-	var out []traffic.Server
+func engines(ids ...string) []traffic.Upstream {
+	var out []traffic.Upstream
 	for _, id := range ids {
-		out = append(out, traffic.Server{ID: id, Service: "llm", Slots: 64, FailureDomain: "d1"})
+		out = append(out, traffic.Upstream{ID: id, Service: "llm", Slots: 64, FailureDomain: "d1"})
 	}
 	return out
 }
@@ -45,7 +45,7 @@
 	now := time.Unix(1000, 0)
 	f := newFleet(func() time.Time { return now })
 	f.set(engines("a", "b"))
-	bad := f.servers["a"]
+	bad := f.upstreams["a"]
 	for range failuresToEject {
 		f.failed(bad, false)
 	}
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -1,9 +1,10 @@
 package gateway
 
 import (
+	"maps"
 	"net"
 	"net/http"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,9 +25,9 @@
 	failureHalf     = 0.8 // weight that a server's failure rate keeps with each answer
 )
 
-// server is one server with what this node has there.
-type server struct {
-	traffic.Server
+// upstream is one server with what this node has there.
+type upstream struct {
+	traffic.Upstream
 	client    *http.Transport
 	idle      time.Duration // after which its connections are given up
 	leaving   bool
@@ -47,42 +48,48 @@
 
 // fleet is the servers known to this node.
 type fleet struct {
-	mu      sync.Mutex
-	servers map[string]*server
-	idle    map[string]time.Duration // by service, as learned from answers
-	now     func() time.Time
+	mu        sync.Mutex
+	upstreams map[string]*upstream
+	byService map[string][]*upstream   // sorted by id
+	idle      map[string]time.Duration // by service, as learned from answers
+	now       func() time.Time
 }
 
 func newFleet(now func() time.Time) *fleet {
-	return &fleet{servers: map[string]*server{}, idle: map[string]time.Duration{}, now: now}
+	return &fleet{upstreams: map[string]*upstream{}, idle: map[string]time.Duration{}, now: now}
 }
 
 // set takes in the servers that are listed; the others are gone.
-func (f *fleet) set(list []traffic.Server) {
+func (f *fleet) set(list []traffic.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
-		known := f.servers[s.ID]
+		known := f.upstreams[s.ID]
 		if known == nil {
 			idle := f.idle[s.Service]
-			known = &server{client: newServerTransport(idle), idle: idle}
-			f.servers[s.ID] = known
+			known = &upstream{client: newServerTransport(idle), idle: idle}
+			f.upstreams[s.ID] = known
 		}
-		known.Server = s
+		known.Upstream = s
 		known.leaving = known.leaving || s.Draining
 	}
-	for id, s := range f.servers {
+	for id, s := range f.upstreams {
 		if !listed[id] {
-			delete(f.servers, id)
+			delete(f.upstreams, id)
 			s.client.CloseIdleConnections()
 		}
 	}
+	f.byService = map[string][]*upstream{}
+	for _, id := range slices.Sorted(maps.Keys(f.upstreams)) {
+		s := f.upstreams[id]
+		f.byService[s.Service] = append(f.byService[s.Service], s)
+	}
 }
 
 // keeps notes how long a server keeps idle connections, as its answer told.
-func (f *fleet) keeps(s *server, header http.Header) {
+func (f *fleet) keeps(s *upstream, header http.Header) {
 	text, ok := strings.CutPrefix(header.Get("Keep-Alive"), "timeout=")
 	told, err := strconv.Atoi(text)
 	if !ok || err != nil {
@@ -99,7 +106,7 @@
 }
 
 // transport is the server's client as it stands.
-func (f *fleet) transport(s *server) *http.Transport {
+func (f *fleet) transport(s *upstream) *http.Transport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return s.client
@@ -121,7 +128,7 @@
 func (f *fleet) leave(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.servers[id]
+	s := f.upstreams[id]
 	if s == nil || s.leaving {
 		return false
 	}
@@ -130,7 +137,7 @@
 }
 
 // begin counts a request as in progress at a server.
-func (f *fleet) begin(s *server, unread int64) {
+func (f *fleet) begin(s *upstream, unread int64) {
 	f.mu.Lock()
 	s.requests++
 	s.unread += unread
@@ -138,21 +145,21 @@
 }
 
 // read takes a prompt off what a server has still to read.
-func (f *fleet) read(s *server, unread int64) {
+func (f *fleet) read(s *upstream, unread int64) {
 	f.mu.Lock()
 	s.unread -= unread
 	f.mu.Unlock()
 }
 
 // end counts a request as no longer in progress.
-func (f *fleet) end(s *server) {
+func (f *fleet) end(s *upstream) {
 	f.mu.Lock()
 	s.requests--
 	f.mu.Unlock()
 }
 
 // succeeded notes a whole answer.
-func (f *fleet) succeeded(s *server) {
+func (f *fleet) succeeded(s *upstream) {
 	f.mu.Lock()
 	s.failures, s.eject = 0, 0
 	s.failRate *= failureHalf
@@ -160,7 +167,7 @@
 }
 
 // failed notes a failure; several in a row keep new work away for a while.
-func (f *fleet) failed(s *server, atOnce bool) {
+func (f *fleet) failed(s *upstream, atOnce bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.failures++
@@ -177,7 +184,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]remoteLoad{}
-	for id, s := range f.servers {
+	for id, s := range f.upstreams {
 		if s.requests > 0 || s.unread > 0 {
 			out[id] = remoteLoad{s.requests, s.unread}
 		}
@@ -190,7 +197,7 @@
 func (f *fleet) setElsewhere(loads map[string]remoteLoad, rest remoteLoad) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, s := range f.servers {
+	for id, s := range f.upstreams {
 		load, ok := loads[id]
 		if !ok {
 			load = rest
@@ -205,12 +212,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	var out, ejected []candidate
-	for _, s := range f.servers {
-		if s.Service != service || s.leaving || avoid[s.ID] {
+	all := f.byService[service]
+	out := make([]candidate, 0, len(all))
+	var ejected []candidate
+	for _, s := range all {
+		if s.leaving || avoid[s.ID] {
 			continue
 		}
-		c := candidate{server: s, id: s.ID, domain: s.FailureDomain, slots: s.Slots, failRate: s.failRate,
+		c := candidate{upstream: s, id: s.ID, domain: s.FailureDomain, slots: s.Slots, failRate: s.failRate,
 			requests: s.requests + s.elsewhere.requests, unread: s.unread + s.elsewhere.unread}
 		if now.Before(s.ejected) {
 			ejected = append(ejected, c)
@@ -219,25 +228,21 @@
 		out = append(out, c)
 	}
 	if len(out) == 0 {
-		out = ejected
+		return ejected
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].id < out[j].id })
 	return out
 }
 
 // list returns the servers of a service, leaving ones included.
-func (f *fleet) list(service string) []traffic.Server {
+func (f *fleet) list(service string) []traffic.Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []traffic.Server
-	for _, s := range f.servers {
-		if s.Service == service {
-			one := s.Server
-			one.Draining = one.Draining || s.leaving
-			out = append(out, one)
-		}
+	var out []traffic.Upstream
+	for _, s := range f.byService[service] {
+		one := s.Upstream
+		one.Draining = one.Draining || s.leaving
+		out = append(out, one)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
 }
 
@@ -245,7 +250,7 @@
 func (f *fleet) running(id string) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.servers[id]
+	s := f.upstreams[id]
 	if s == nil {
 		return 0
 	}
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -90,7 +90,7 @@
 
 // try sends to one server and relays its answer; done says that the client
 // has its whole answer.
-func (f *flight) try(ctx context.Context, s *server, unread int64) (done bool, err error) {
+func (f *flight) try(ctx context.Context, s *upstream, unread int64) (done bool, err error) {
 	n, a := f.n, f.a
 	if f.sends == 0 {
 		n.metrics.Added(a.route.Name, time.Since(a.arrived))
@@ -155,7 +155,7 @@
 
 // plain relays an answer that is no stream. A failure of the server is kept
 // back while another server may still do better.
-func (f *flight) plain(answer *http.Response, s *server) (done bool, err error) {
+func (f *flight) plain(answer *http.Response, s *upstream) (done bool, err error) {
 	if f.reply.headSent {
 		return false, errWrongAnswer // a stream cannot go on with an answer of another form
 	}
@@ -173,7 +173,7 @@
 }
 
 // passing notes that events of a server, asked when began was, are passed on.
-func (f *flight) passing(s *server, began time.Time) {
+func (f *flight) passing(s *upstream, began time.Time) {
 	n, a, now := f.n, f.a, time.Now()
 	if f.begun {
 		n.metrics.Gap(now.Sub(f.passed))
@@ -191,7 +191,7 @@
 }
 
 // promptRead takes the prompt off what the server has still to read, once.
-func (f *flight) promptRead(s *server) {
+func (f *flight) promptRead(s *upstream) {
 	if f.unread != 0 {
 		f.n.fleet.read(s, f.unread)
 		f.unread = 0
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -271,17 +271,17 @@
 
 // choose picks the server for the next send, and tells how many tokens of the
 // prompt it will have to read.
-func (n *Node) choose(a *ask, avoid map[string]bool) (*server, int64, bool) {
+func (n *Node) choose(a *ask, avoid map[string]bool) (*upstream, int64, bool) {
 	list := n.fleet.candidates(a.service, avoid)
 	n.rngMu.Lock()
 	defer n.rngMu.Unlock()
 	if a.route.Sticky {
 		c, unread, ok := chooseEngine(list, prompt{a.parts, a.tokensIn, n.beliefs.holds}, n.set.FailureDomain, n.rng)
 		a.ahead = c.unread
-		return c.server, unread, ok
+		return c.upstream, unread, ok
 	}
 	c, ok := leastLoaded(list, n.set.FailureDomain, n.rng)
-	return c.server, a.tokensIn, ok
+	return c.upstream, a.tokensIn, ok
 }
 
 func (n *Node) serverLeft(id string) {
--- a/src/gateway/scale.go
+++ b/src/gateway/scale.go
@@ -78,7 +78,7 @@
 
 // need is how many servers of a service the nodes' demand asks for. Before
 // there is any, it is what was there at first.
-func (n *Node) need(service traffic.Service, servers []traffic.Server) capacity.Need {
+func (n *Node) need(service traffic.Service, servers []traffic.Upstream) capacity.Need {
 	now := time.Now()
 	var tokens, reading, running, measured float64
 	for _, m := range n.members.All() {
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -58,7 +58,7 @@
 }
 
 // send sends the request to one server and reads the answer's head.
-func (n *Node) send(ctx context.Context, a *ask, s *server, lastEvent string) sent {
+func (n *Node) send(ctx context.Context, a *ask, s *upstream, lastEvent string) sent {
 	ctx, cancel := context.WithCancel(ctx)
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
@@ -98,7 +98,7 @@
 // outgoing makes the request for a server. The library must never send it
 // again by itself once a byte has gone out: a body that it cannot rewind, and
 // no header that marks it as idempotent, see to that.
-func (n *Node) outgoing(ctx context.Context, a *ask, s *server, lastEvent string) *http.Request {
+func (n *Node) outgoing(ctx context.Context, a *ask, s *upstream, lastEvent string) *http.Request {
 	in := a.request
 	target := *in.URL
 	target.Scheme, target.Host = "http", s.Address
--- a/src/gateway/settings.go
+++ b/src/gateway/settings.go
@@ -80,5 +80,5 @@
 	ConfigKey() string
 	ServerPrefix() string
 	DecodeConfig(raw []byte) (traffic.Config, error)
-	DecodeServer(key string, raw []byte) (traffic.Server, error)
+	DecodeServer(key string, raw []byte) (traffic.Upstream, error)
 }
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -153,14 +153,14 @@
 // decodedServer is a server's entry as it was decoded at a revision.
 type decodedServer struct {
 	revision int64
-	server   traffic.Server
+	server   traffic.Upstream
 }
 
 // applyServers takes in the list of servers; entries that did not change are
 // not decoded again.
 func (n *Node) applyServers() {
 	items := n.view.List(n.platform.ServerPrefix())
-	list := make([]traffic.Server, 0, len(items))
+	list := make([]traffic.Upstream, 0, len(items))
 	decoded := make(map[string]decodedServer, len(items))
 	for _, it := range items {
 		known, ok := n.decoded[it.Key]
--- a/src/traffic/config.go
+++ b/src/traffic/config.go
@@ -104,8 +104,8 @@
 	IdleTimeout   time.Duration
 }
 
-// Server is one running server of a service.
-type Server struct {
+// Upstream is one running server of a service.
+type Upstream struct {
 	ID            string
 	Service       string
 	Address       string // host:port
