Let a node that begins admit at once from a part of each limit

A bucket begins at 0.3 of its depth now; the property of shared limits covers up to two kills of all nodes in any window. Test: TestANodeThatBeginsAdmitsAtOnce fails with an empty bucket.

--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -32,6 +32,7 @@
 	localDepth    = 0.3       // of a node's part of the depth, which it uses at once
 	depthPart     = 0.5       // of the burst that a bucket holds; the rest comes back over the window
 	depthSlack    = 0.25      // of the slack that a bucket holds as well
+	startPart     = 0.3       // of the depth, in the bucket of a node that begins: what was admitted before is not known
 	toleranceUsed = 0.4       // of overage and slack together
 	toleranceSum  = 0.15      // the same where the others are told of as one sum, which comes later
 	reservePart   = 0.1       // of the depth, left by each step of priority
@@ -83,7 +84,7 @@
 	assumed     map[string]float64 // charged while it was silent
 }
 
-// NewSharedLimiter returns a limiter whose buckets are empty: what was
+// NewSharedLimiter returns a limiter whose buckets are nearly empty: what was
 // admitted before it began is not known.
 func NewSharedLimiter(now time.Time, over Tolerance) *SharedLimiter {
 	return &SharedLimiter{began: now, over: over, buckets: map[string]*sharedBucket{}, admit: map[string]float64{}, peers: map[string]*peerTotals{}, nodes: 1}
@@ -247,7 +248,7 @@
 func (l *SharedLimiter) refill(customer string, rate, burst float64, now time.Time) *sharedBucket {
 	bucket := l.buckets[customer]
 	if bucket == nil {
-		bucket = &sharedBucket{at: l.began}
+		bucket = &sharedBucket{at: l.began, level: startPart * burst}
 		l.buckets[customer] = bucket
 	}
 	passed := max(min(now.Sub(bucket.at), refillMost), 0).Seconds()
--- a/src/admit/shared_test.go
+++ b/src/admit/shared_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,14 +25,14 @@
 		cut := rapid.IntRange(-1, nodes-1).Draw(t, "node cut off from the others")
 		load := rapid.Float64Range(0.2, 6).Draw(t, "asked, as a multiple of the limit")
 		over := Tolerance{Window: window, Overage: 0.1, Slack: slack}
-		limiters := make([]*SharedLimiter, nodes)
-		for i := range limiters {
-			limiters[i] = NewSharedLimiter(sharedStart, over)
-			limiters[i].SetNodes(othersOf(i, nodes))
-		}
+		limiters := beginAll(nodes, over, sharedStart)
+		kills := rapid.SliceOfN(rapid.IntRange(1, steps-1), 0, 2).Draw(t, "steps at which all nodes begin anew")
 		admitted := make([]float64, steps)
 		for at := range steps {
 			now := sharedStart.Add(time.Duration(at) * step)
+			if slices.Contains(kills, at) {
+				limiters = beginAll(nodes, over, now)
+			}
 			if at%lag == 0 {
 				tellAll(limiters, cut, now)
 			}
@@ -59,6 +60,16 @@
 	}
 }
 
+// beginAll returns the limiters of nodes that all begin at a moment.
+func beginAll(nodes int, over Tolerance, now time.Time) []*SharedLimiter {
+	limiters := make([]*SharedLimiter, nodes)
+	for i := range limiters {
+		limiters[i] = NewSharedLimiter(now, over)
+		limiters[i].SetNodes(othersOf(i, nodes))
+	}
+	return limiters
+}
+
 func othersOf(self, nodes int) []string {
 	var out []string
 	for i := range nodes {
@@ -231,3 +242,11 @@
 		limiters[i].Heard("hub", 1, map[string]float64{"c": sum}, now)
 	}
 }
+
+func TestANodeThatBeginsAdmitsAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := NewSharedLimiter(sharedStart, Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 600})
+	l.SetNodes(othersOf(0, 9)) // none of them heard yet
+	ok, _ := l.Take("c", 50, 1, 1000, 1000, sharedStart.Add(10*time.Millisecond))
+	is.True(ok)
+}
