--- a/src/ctl/look.go
+++ b/src/ctl/look.go
@@ -125,10 +125,40 @@
 	What string   `arg:"" help:"event, request or upstream." enum:"event,request,upstream"`
 	Name string   `arg:"" help:"Its name; for a request customer/key."`
 	At   []string `help:"Operators' addresses of crank-entry to ask about a request." sep:","`
+	Logs []string `help:"Log files of crank-gateway processes to find a request's id in instead; - for standard input." sep:","`
+}
+
+// fromLogs tells a request's story from the logs of all nodes.
+func (c *explainCmd) fromLogs() error {
+	var all []logLine
+	for _, name := range c.Logs {
+		log := os.Stdin
+		if name != "-" {
+			file, err := os.Open(name)
+			if err != nil {
+				return fail(exitFailed, "%w", err)
+			}
+			defer func() { _ = file.Close() }()
+			log = file
+		}
+		lines, err := parseLog(log, name)
+		if err != nil {
+			return fail(exitFailed, "read %s: %w", name, err)
+		}
+		all = append(all, lines...)
+	}
+	tell(c.Name, all).print(os.Stdout)
+	return nil
 }
 
 // Run prints decisions, oldest first.
 func (c *explainCmd) Run(g *globals) error {
+	if len(c.Logs) > 0 {
+		if c.What != "request" {
+			return fail(exitFailed, "logs tell of requests only")
+		}
+		return c.fromLogs()
+	}
 	ask := *g
 	path := "/v1/explain"
 	if c.What == "request" {
--- a/src/gateway/ask.go
+++ b/src/gateway/ask.go
@@ -36,6 +36,7 @@
 	code   string
 	wait   time.Duration // when to come back; 0 says nothing
 	close  bool          // the connection ends with it
+	inputs []any         // what decided it, as keys and values for the log
 }
 
 // Codes of refusals, for logs and clients.
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -236,7 +236,8 @@
 	}
 	if c := a.customer; c != nil && c.Rate > 0 {
 		if ok, wait := n.quota.Take(c.Name, a.cost(), a.priority, c.Rate, c.Burst, time.Now()); !ok {
-			return &refusal{status: http.StatusTooManyRequests, code: codeQuota, wait: wait}
+			inputs := []any{"customer", c.Name, "cost", a.cost(), "rate", c.Rate, "priority", a.priority, "members", n.members.Count()}
+			return &refusal{status: http.StatusTooManyRequests, code: codeQuota, wait: wait, inputs: inputs}
 		}
 		if n.quota.Urgent(c.Name, c.Rate) {
 			n.peers.Nudge()
@@ -248,7 +249,8 @@
 // refuse gives the gateway's own answer.
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
 	n.metrics.Refused(f.code)
-	klog.InfoS("refused", "id", r.Header.Get(n.headers.RequestID), "status", f.status, "code", f.code, "wait_ms", f.wait.Milliseconds(), "version", n.version())
+	line := []any{"id", r.Header.Get(n.headers.RequestID), "status", f.status, "code", f.code, "wait_ms", f.wait.Milliseconds(), "version", n.version()}
+	klog.InfoS("refused", append(line, f.inputs...)...)
 	if f.wait > 0 {
 		seconds := math.Ceil(f.wait.Seconds()*1000) / 1000
 		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
