Let no relay revive a node that is gone

A node forgot a record after 60 s; another, which had heard it a little later, told it once more, and it was taken for news of a new node. Ruled out: the store's entries and summaries (the nodes were nine). Relayed records carry their age now. Tests: TestNoRelayRevivesANodeThatIsGone fails before ('given to clients 1m0.5s after it was heard'); TestANewNodeLearnsHowLongOthersWereSilent.

--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -231,9 +231,9 @@
 		n.mu.Unlock()
 		out.Summary = n.Members.Summarize(m.GetOwn().GetNode(), time.Now())
 	case Scope_DIRECT:
-		out.Others = n.Members.Direct()
+		n.addOthers(out, n.Members.Direct())
 	default:
-		out.Others = n.Members.Lacking(m.Known, m.GetOwn().GetNode(), relayMost)
+		n.addOthers(out, n.Members.Lacking(m.Known, m.GetOwn().GetNode(), relayMost))
 	}
 	if m.Complete < out.Complete {
 		n.addChanges(out, m.Complete)
@@ -260,12 +260,20 @@
 		hub, _ := hubOf(n.Entries(), out.Own.FailureDomain, n.avoid)
 		if hub.Node != out.Own.Node {
 			// The domain's hub may not hear the nodes that ask here instead.
-			out.Others = n.Members.Direct()
+			n.addOthers(out, n.Members.Direct())
 		}
 	}
 	return out
 }
 
+// addOthers adds the records of other nodes, each with its age.
+func (n *Node) addOthers(out *Message, members []Member) {
+	for _, member := range members {
+		out.Others = append(out.Others, member.Record)
+		out.AgesMs = append(out.AgesMs, n.Members.Age(member).Milliseconds())
+	}
+}
+
 // addChanges adds what the receiver's copy of the store lacks.
 func (n *Node) addChanges(out *Message, from int64) {
 	delta := n.View.Since(from)
@@ -277,8 +285,8 @@
 
 func (n *Node) take(m *Message, at time.Time) {
 	n.Members.Take(m.Own)
-	for _, r := range m.Others {
-		n.Members.Take(r)
+	for i, r := range m.Others {
+		n.Members.TakeAged(r, ageOf(m, i))
 	}
 	n.Members.Compare(m.GetOwn().GetNode(), time.UnixMicro(m.WallUs), at)
 	if len(m.Items) == 0 && !m.Whole {
@@ -291,5 +299,13 @@
 	n.View.ApplyPeer(delta)
 }
 
+// ageOf is how old a record was when the message was made.
+func ageOf(m *Message, other int) time.Duration {
+	if other >= len(m.AgesMs) {
+		return 0
+	}
+	return time.Duration(m.AgesMs[other]) * time.Millisecond
+}
+
 // Handler serves the exchange.
 func (n *Node) Handler() http.Handler { return NewClusterServer(n) }
--- a/src/cluster/members.go
+++ b/src/cluster/members.go
@@ -61,8 +61,12 @@
 }
 
 // Take keeps the record if it is newer than what is known of its node.
-func (m *Members) Take(r *Record) bool {
-	if r == nil || r.Node == "" {
+func (m *Members) Take(r *Record) bool { return m.TakeAged(r, 0) }
+
+// TakeAged keeps a record that moved on a while ago, as another node tells. A
+// node that is forgotten here is not taken for a new one.
+func (m *Members) TakeAged(r *Record, age time.Duration) bool {
+	if r == nil || r.Node == "" || age >= forgetFor {
 		return false
 	}
 	m.mu.Lock()
@@ -74,7 +78,7 @@
 	if ok && r.Incarnation != old.Record.Incarnation {
 		m.keepPast(old.Record)
 	}
-	m.members[r.Node] = Member{r, m.now()}
+	m.members[r.Node] = Member{r, m.now().Add(-age)}
 	return true
 }
 
@@ -88,18 +92,18 @@
 	}
 }
 
-// Direct returns the records of the nodes that exchange with this one.
-func (m *Members) Direct() []*Record {
+// Direct returns the nodes that exchange with this one.
+func (m *Members) Direct() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []*Record
+	var out []Member
 	for name, at := range m.direct {
 		if m.now().Sub(at) > aliveFor {
 			delete(m.direct, name)
 			continue
 		}
 		if member, ok := m.members[name]; ok && name != m.self {
-			out = append(out, member.Record)
+			out = append(out, member)
 		}
 	}
 	return out
@@ -113,6 +117,9 @@
 	}
 }
 
+// Age is how long ago a member's record moved on.
+func (m *Members) Age(member Member) time.Duration { return max(m.now().Sub(member.Heard), 0) }
+
 // Known lists the newest records by their sequence.
 func (m *Members) Known() []*Known {
 	m.mu.Lock()
@@ -124,22 +131,23 @@
 	return out
 }
 
-// Lacking returns up to most records that are newer than those known to a peer.
-func (m *Members) Lacking(known []*Known, peer string, most int) []*Record {
+// Lacking returns up to most members whose records are newer than those known
+// to a peer.
+func (m *Members) Lacking(known []*Known, peer string, most int) []Member {
 	have := make(map[string]*Known, len(known))
 	for _, k := range known {
 		have[k.Node] = k
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []*Record
+	var out []Member
 	for name, member := range m.members {
 		if name == m.self || name == peer || len(out) >= most {
 			continue
 		}
 		k := have[name]
 		if k == nil || newer(member.Record, &Record{Incarnation: k.Incarnation, Sequence: k.Sequence + relayLag}) {
-			out = append(out, member.Record)
+			out = append(out, member)
 		}
 	}
 	return out
--- a/src/cluster/members_test.go
+++ b/src/cluster/members_test.go
@@ -99,3 +99,47 @@
 	}
 	is.True(names["middle"] && names["right"])
 }
+
+func TestNoRelayRevivesANodeThatIsGone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	node := func(name string) *Node {
+		n := &Node{
+			Members: NewMembers(name, func() time.Time { return now }), View: view.New(),
+			Own: func() *Record { return &Record{Node: name, Incarnation: 1, Sequence: now.Unix(), Ready: true} },
+		}
+		n.Start()
+		return n
+	}
+	a, b := node("a"), node("b")
+	gone := &Record{Node: "gone", Incarnation: 1, Sequence: 9, Ready: true, Callers: "10.0.0.9:80"}
+	a.Members.Take(gone)
+	now = now.Add(time.Second)
+	b.Members.Take(gone) // heard a little later, so that it is forgotten later as well
+	for range 300 {
+		now = now.Add(500 * time.Millisecond)
+		a.Members.Others(aliveFor)
+		b.Members.Others(aliveFor)
+		for _, pair := range [][2]*Node{{a, b}, {b, a}} {
+			answer, err := pair[1].Exchange(context.Background(), pair[0].question(Scope_LACKING))
+			is.NoErr(err)
+			pair[0].take(answer, now)
+		}
+		for _, r := range append(a.Members.Alive(), b.Members.Alive()...) {
+			if r.Node == "gone" && now.After(time.Unix(1000, 0).Add(2*aliveFor)) {
+				t.Fatalf("given to clients %s after it was heard", now.Sub(time.Unix(1000, 0)))
+			}
+		}
+	}
+}
+
+func TestANewNodeLearnsHowLongOthersWereSilent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := NewMembers("self", func() time.Time { return now })
+	m.TakeAged(&Record{Node: "silent", Incarnation: 1, Sequence: 5, Ready: true}, 3*aliveFor)
+	m.TakeAged(&Record{Node: "heard", Incarnation: 1, Sequence: 5, Ready: true}, aliveFor/2)
+	is.Equal(len(m.Alive()), 1)
+	is.Equal(len(m.Others(countedFor)), 2) // limits and usage still count it
+	is.True(!m.TakeAged(&Record{Node: "long gone", Incarnation: 1}, forgetFor))
+}
