--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -187,12 +187,7 @@
 	fill, depth := l.over.bucketOf(rate, burst, used)
 	bucket := l.refill(customer, fill, depth, now)
 	level := bucket.level - l.unseenElsewhere(bucket)
-	// The size of a request does not matter: a large one would find room less
-	// often than a small one. What it overdraws is paid back before the next.
-	need := depth * min(float64(priority)*reservePart, reserveMost)
-	if cost <= depth*tinyPart {
-		need = -depth * tinyOverdraft
-	}
+	need := needed(cost, priority, depth)
 	if level < need {
 		return false, time.Duration((need - level) / fill * float64(time.Second))
 	}
@@ -207,6 +202,17 @@
 	return true, 0
 }
 
+// needed is the level at which a request is admitted. Its size does not matter:
+// a large request would find room less often than a small one. What it
+// overdraws is paid back before the next. Tiny requests weigh nothing beside
+// the others.
+func needed(cost float64, priority int, depth float64) float64 {
+	if cost <= depth*tinyPart {
+		return -depth * tinyOverdraft
+	}
+	return depth * min(float64(priority)*reservePart, reserveMost)
+}
+
 // Urgent tells whether this node has admitted so much of a customer's rate (a
 // second) since it last told its sums that the others should hear of it soon.
 func (l *SharedLimiter) Urgent(customer string, rate float64) bool {
