Count dropped log lines until their loss is told

A real fault, small: the count is taken off once it is told. Ruled out: a lost line (the number told was right). Test: TestDroppedLinesCountUntilTheyAreTold, which fails before, whatever the load; the other test is as it was.

--- a/src/telemetry/log.go
+++ b/src/telemetry/log.go
@@ -54,8 +54,9 @@
 
 func (w *LogWriter) run() {
 	for line := range w.lines {
-		if lost := w.dropped.Swap(0); lost > 0 {
+		if lost := w.dropped.Load(); lost > 0 {
 			_, _ = fmt.Fprintf(w.out, "log_dropped lines=%d\n", lost)
+			w.dropped.Add(-lost) // told only now: the output may have blocked
 		}
 		_, _ = w.out.Write(line)
 		w.pending.Done()
--- a/src/telemetry/log_test.go
+++ b/src/telemetry/log_test.go
@@ -12,12 +12,16 @@
 
 // slowOutput takes nothing until it is opened.
 type slowOutput struct {
-	mu   sync.Mutex
-	open chan struct{}
-	got  bytes.Buffer
+	mu      sync.Mutex
+	entered chan struct{} // told, where it is set, of each write that begins
+	open    chan struct{}
+	got     bytes.Buffer
 }
 
 func (o *slowOutput) Write(p []byte) (int, error) {
+	if o.entered != nil {
+		o.entered <- struct{}{}
+	}
 	<-o.open
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -51,3 +55,19 @@
 	is.True(strings.HasSuffix(text, "after\n"))
 	is.True(len(text) < (logLines+10)*logLineBytes)
 }
+
+func TestDroppedLinesCountUntilTheyAreTold(t *testing.T) {
+	is := is.New(t)
+	out := &slowOutput{entered: make(chan struct{}, 2*logLines), open: make(chan struct{})}
+	w := &LogWriter{lines: make(chan []byte, logLines), out: out}
+	for range logLines + 10 {
+		_, _ = w.Write([]byte("a line\n"))
+	}
+	go w.run()
+	<-out.entered // it is telling of the loss, and the output takes nothing
+	is.Equal(w.Dropped(), int64(10))
+	close(out.open)
+	w.Flush()
+	is.Equal(w.Dropped(), int64(0))
+	is.True(strings.HasPrefix(out.got.String(), "log_dropped lines=10\n"))
+}
