--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -36,6 +36,9 @@
 // soakRegressions are the seeds that ever failed, each with its cause.
 var soakRegressions = []uint64{
 	13071504994975122669, // a hangup ended a process that had just begun: package hangup
+	// Two runs of all tests at once took each other's ports (bind: address already in use).
+	13141368818159869680,
+	7519613443594826010,
 }
 
 type soak struct {
