Work out a round's targets once

Cause (last reading): each round of a large system also worked out, and threw away, the targets of a small one; a constant of summaries was unused. Behaviour is as before.

--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -64,12 +64,14 @@
 	for ctx.Err() == nil {
 		wait := interval
 		large := n.Large()
-		targets := n.targets()
+		var targets []target
 		if large {
 			targets = n.hubTargets()
-			if !n.Hub() {
-				wait = nodeInterval
-			}
+		} else {
+			targets = n.targets()
+		}
+		if large && !n.Hub() {
+			wait = nodeInterval
 		}
 		for _, one := range targets {
 			go n.ask(ctx, one)
--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -15,7 +15,6 @@
 	sumsFor      = 50 * time.Millisecond // for which sums serve several summaries
 	heavyMost    = 64                    // servers told one by one
 	callersTold  = 32                    // addresses in one summary
-	callersKept  = 64
 	callersFresh = 3 * time.Second
 )
 
