Log what the retry budget decided by, and when the store or a peer is lost

A node's logs could not tell a budget that starts anew from one whose share grew, nor how long the store or a peer was silent. No logic changes: Spend returns its figures beside its answer, a refusal logs them, a counter and a gauge show them, and dependency_lost and dependency_back stand once each instead of a line a try at a higher level.

--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -8,9 +8,8 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/crankridge/crankridge/src/ports"
+	"github.com/crankridge/crankridge/src/telemetry"
 	"github.com/crankridge/crankridge/src/view"
 )
 
@@ -42,7 +41,8 @@
 	mu      sync.Mutex
 	peers   map[string]Cluster
 	busy    map[string]bool
-	avoided map[string]time.Time // nodes that are no hubs, and until when
+	reached map[string]*telemetry.Dependency // by address
+	avoided map[string]time.Time             // nodes that are no hubs, and until when
 	nudged  chan struct{}
 	asked   time.Time // when another node last asked for a summary
 	round   int
@@ -55,6 +55,7 @@
 	n.client = &http.Client{Transport: tr}
 	n.peers = map[string]Cluster{}
 	n.busy = map[string]bool{}
+	n.reached = map[string]*telemetry.Dependency{}
 	n.avoided = map[string]time.Time{}
 	n.nudged = make(chan struct{}, 1)
 }
@@ -181,9 +182,10 @@
 		n.setAvoided(to.node)
 	}
 	if err != nil {
-		klog.V(2).InfoS("peer_silent", "address", to.address, "err", err)
+		n.reach(to.address).Failed(err)
 		return
 	}
+	n.reach(to.address).Well()
 	middle := sent.Add(time.Since(sent) / 2)
 	n.take(answer, middle)
 	if answer.Summary != nil {
@@ -215,6 +217,18 @@
 	return client, true
 }
 
+// reach is whether the peer at an address answers.
+func (n *Node) reach(address string) *telemetry.Dependency {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d := n.reached[address]
+	if d == nil {
+		d = &telemetry.Dependency{Name: "peer " + address, Now: time.Now}
+		n.reached[address] = d
+	}
+	return d
+}
+
 func (n *Node) release(address string) {
 	n.mu.Lock()
 	delete(n.busy, address)
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -37,6 +37,7 @@
 	passed  time.Time      // when events were passed on last
 	last    *http.Response // a server's own failure, kept in case no better answer comes
 	lastRaw []byte
+	inputs  []any // what decided against a retry, as keys and values for the log
 }
 
 // forward carries an attempt to its end: choose, send, relay, and again
@@ -55,7 +56,7 @@
 		if !ok {
 			return f.end(ctx, codeNoServer, noServerWait)
 		}
-		if f.reached > 0 && !n.budget.Spend(a.service, n.members.Count(), time.Since(n.began)) {
+		if f.reached > 0 && !f.mayRetry() {
 			return f.end(ctx, codeRefused, refusedWait)
 		}
 		done, err := f.try(ctx, s, unread)
@@ -75,6 +76,17 @@
 	}
 }
 
+// mayRetry takes one repeat from the budget, and keeps what decided for the log.
+func (f *flight) mayRetry() bool {
+	n := f.n
+	v := n.budget.Spend(f.a.service, n.members.Count(), time.Since(n.began))
+	n.metrics.Retry(f.a.service, v.Granted, v.Nodes)
+	if !v.Granted {
+		f.inputs = []any{"budget_nodes", v.Nodes, "budget_requests", v.Requests, "budget_repeats", v.Repeats, "budget_allowed", v.Allowed}
+	}
+	return v.Granted
+}
+
 // mayTryAgain tells whether the attempt may go to another server.
 func (f *flight) mayTryAgain() bool {
 	switch {
@@ -231,7 +243,7 @@
 	case f.runs > 0:
 		return &refusal{status: unknownStatus, code: codeUnknown}
 	}
-	return &refusal{status: http.StatusServiceUnavailable, code: code, wait: request.Jitter(wait)}
+	return &refusal{status: http.StatusServiceUnavailable, code: code, wait: request.Jitter(wait), inputs: f.inputs}
 }
 
 func (f *flight) log(what, server string, err error) {
--- a/src/request/window.go
+++ b/src/request/window.go
@@ -64,21 +64,33 @@
 	b.slot(service, now).requests++
 }
 
+// Verdict is what a budget decided on one repeat, and by which figures.
+type Verdict struct {
+	Granted  bool
+	Requests float64 // of this node in the window
+	Repeats  float64 // of this node in the window, this one included if it was granted
+	Allowed  float64 // repeats in the window
+	Nodes    int     // among which the part beyond the ratio is divided
+}
+
 // Spend takes one repeat when this node's share, among so many nodes, has one left.
-func (b *WindowBudget) Spend(service string, nodes int, now time.Duration) bool {
+func (b *WindowBudget) Spend(service string, nodes int, now time.Duration) Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.slot(service, now)
-	var requests, repeats float64
+	v := Verdict{Nodes: max(nodes, 1)}
 	for _, s := range b.slots[service] {
 		if current.number-s.number <= windowSlots {
-			requests += s.requests
-			repeats += s.repeats
+			v.Requests += s.requests
+			v.Repeats += s.repeats
 		}
 	}
-	if repeats+1 > b.ratio*ratioUsed*requests+b.extra*extraUsed/float64(max(nodes, 1)) {
-		return false
+	v.Allowed = b.ratio*ratioUsed*v.Requests + b.extra*extraUsed/float64(v.Nodes)
+	if v.Repeats+1 > v.Allowed {
+		return v
 	}
+	v.Granted = true
+	v.Repeats++
 	current.repeats++
-	return true
+	return v
 }
--- a/src/request/window_test.go
+++ b/src/request/window_test.go
@@ -28,7 +28,7 @@
 				requests[at]++
 			}
 			for range rapid.IntRange(0, 6).Draw(t, "repeats wanted") {
-				if budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")].Spend("s", nodes, now) {
+				if budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")].Spend("s", nodes, now).Granted {
 					repeats[at]++
 				}
 			}
--- a/src/telemetry/gateway.go
+++ b/src/telemetry/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel/metric"
@@ -14,6 +15,8 @@
 	requests metric.Int64Counter
 	sends    metric.Int64Counter
 	refusals metric.Int64Counter
+	retries  metric.Int64Counter
+	shareOf  metric.Int64Gauge
 	added    metric.Float64Histogram
 	first    metric.Float64Histogram
 	gaps     metric.Float64Histogram
@@ -31,6 +34,8 @@
 		requests: made.counter("requests", "answers to clients, by route and status"),
 		sends:    made.counter("sends", "requests sent to servers, by service and fate; all but the first of a request are retries"),
 		refusals: made.counter("refusals", "answers of the gateway's own, by code"),
+		retries:  made.counter("retries", "repeated sends that the retry budget granted or refused, by service"),
+		shareOf:  made.gauge("retry_nodes", "nodes among which the retry budget was divided last, by service"),
 		added:    made.seconds("added", "time from a request's arrival to its first send, by route"),
 		first:    made.seconds("first_event", "time from a request's arrival to its first event, by route"),
 		gaps:     made.seconds("between_events", "time between two parts of a stream as they were passed on"),
@@ -68,6 +73,12 @@
 	g.sends.Add(context.Background(), 1, attrs("service", service, "fate", fate))
 }
 
+// Retry counts a decision of the retry budget, which was divided among so many nodes.
+func (g *Gateway) Retry(service string, granted bool, nodes int) {
+	g.retries.Add(context.Background(), 1, attrs("service", service, "granted", strconv.FormatBool(granted)))
+	g.shareOf.Record(context.Background(), int64(nodes), attrs("service", service))
+}
+
 // Added records the time before a request was first sent on.
 func (g *Gateway) Added(route string, took time.Duration) {
 	g.added.Record(context.Background(), took.Seconds(), attrs("route", route))
--- a/src/telemetry/instruments.go
+++ b/src/telemetry/instruments.go
@@ -44,6 +44,13 @@
 	return c
 }
 
+// gauge makes a gauge that keeps what was recorded last.
+func (i *instruments) gauge(name, what string) metric.Int64Gauge {
+	g, err := i.meter.Int64Gauge(i.prefix+name, metric.WithDescription(what))
+	i.err = errors.Join(i.err, err)
+	return g
+}
+
 // seconds makes a histogram of times in seconds.
 func (i *instruments) seconds(name, what string) metric.Float64Histogram {
 	h, err := i.meter.Float64Histogram(i.prefix+name, metric.WithDescription(what), metric.WithUnit("s"),
--- a/src/view/follow.go
+++ b/src/view/follow.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"k8s.io/klog/v2"
 
 	"github.com/crankridge/crankridge/src/ports"
+	"github.com/crankridge/crankridge/src/telemetry"
 )
 
 const (
@@ -29,16 +29,21 @@
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = retryFirst
 	wait.MaxInterval = retryMost
+	store := &telemetry.Dependency{Name: "store", Now: time.Now}
+	well := func() {
+		wait.Reset()
+		store.Well()
+	}
 	list := true
 	for ctx.Err() == nil {
-		err := v.step(ctx, kv, prefix, &list, wait.Reset)
+		err := v.step(ctx, kv, prefix, &list, well)
 		if ctx.Err() != nil {
 			return
 		}
-		klog.V(1).InfoS("view_follow", "err", err)
 		if errors.Is(err, ports.ErrCompacted) || errors.Is(err, context.Canceled) {
 			continue // what was missed is fetched at once
 		}
+		store.Failed(err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait.NextBackOff()):
