--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	demo/run.sh
 
 test:
-	go test ./...
+	go test $(TESTFLAGS) ./...
 
 check:
 	.ci/run
--- a/test/gateway_bench_test.go
+++ b/test/gateway_bench_test.go
@@ -29,6 +29,7 @@
 	version int
 	config  map[string]any
 	retries string // settings of the retry budget
+	duties  string
 }
 
 type gatewayNode struct {
@@ -44,7 +45,7 @@
 )
 
 func newGatewayBench(t *testing.T) *gatewayBench {
-	b := &gatewayBench{t: t, is: is.New(t), store: fake.NewStore(), cloud: fake.NewCloud(), retries: "Bounds.RetryBudgetRatio=0.2\nBounds.ExtraRetries=50\n"}
+	b := &gatewayBench{t: t, is: is.New(t), store: fake.NewStore(), cloud: fake.NewCloud(), duties: "usage_reporting", retries: "Bounds.RetryBudgetRatio=0.2\nBounds.ExtraRetries=50\n"}
 	t.Cleanup(b.store.Close)
 	t.Cleanup(b.cloud.Close)
 	b.config = map[string]any{
@@ -95,11 +96,16 @@
 
 // start starts a node whose store is at the given address.
 func (b *gatewayBench) start(storeAddress string, seeds ...string) *gatewayNode {
-	text := fmt.Sprintf("NodeName=node-%d\nZone=zone-1\nRegion=here\nFirstStart=true\nSeedNodes=%s\n", len(b.nodes)+1, strings.Join(seeds, ","))
+	return b.startAs(fmt.Sprintf("node-%d", len(b.nodes)+1), true, storeAddress, seeds...)
+}
+
+// startAs starts a node of a name; first says that no node of the system ran before.
+func (b *gatewayBench) startAs(name string, first bool, storeAddress string, seeds ...string) *gatewayNode {
+	text := fmt.Sprintf("NodeName=%s\nZone=zone-1\nRegion=here\nFirstStart=%t\nSeedNodes=%s\n", name, first, strings.Join(seeds, ","))
 	for _, name := range []string{"Front", "Ready", "Control", "Directory"} {
 		text += "ListenAddresses." + name + "=" + freeAddress(b.t) + "\n"
 	}
-	text += "PlatformSettings.Address=" + storeAddress + "\nCloudApi.Address=" + b.cloud.Address() + "\nCloudApi.Duties=usage_reporting\n" +
+	text += "PlatformSettings.Address=" + storeAddress + "\nCloudApi.Address=" + b.cloud.Address() + "\nCloudApi.Duties=" + b.duties + "\n" +
 		"Bounds.GracePeriodS=2\nBounds.LeaseMs=1000\nBounds.UsageWindowS=1\nBounds.UsageLateS=10\nBounds.BudgetWindowS=10\n" + b.retries
 	path := filepath.Join(b.t.TempDir(), "settings.conf")
 	b.is.NoErr(os.WriteFile(path, []byte(text), 0o600))
--- /dev/null
+++ b/test/silence_test.go
@@ -0,0 +1,79 @@
+package test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/Shopify/toxiproxy/v2/toxics"
+)
+
+// silence is a toxic that lets bytes through until its link falls silent. Then
+// the connections that are open pass nothing any more, in either direction and
+// without a reset, while new ones work.
+type silence struct {
+	Link string `json:"link"`
+}
+
+// silences holds, by link, the channel that closes when its open connections fall silent.
+var silences = struct {
+	sync.Mutex
+	of map[string]chan struct{}
+}{of: map[string]chan struct{}{}}
+
+func init() { toxics.Register("silence", new(silence)) }
+
+// NewState keeps, for a connection, when it falls silent.
+func (s *silence) NewState() any {
+	silences.Lock()
+	defer silences.Unlock()
+	if silences.of[s.Link] == nil {
+		silences.of[s.Link] = make(chan struct{})
+	}
+	return silences.of[s.Link]
+}
+
+// Pipe passes one connection's bytes on, or drops them.
+func (s *silence) Pipe(stub *toxics.ToxicStub) {
+	silent := stub.State.(chan struct{})
+	for {
+		select {
+		case <-stub.Interrupt:
+			return
+		case chunk := <-stub.Input:
+			if chunk == nil {
+				stub.Close()
+				return
+			}
+			select {
+			case <-silent:
+			default:
+				stub.Output <- chunk
+			}
+		}
+	}
+}
+
+// newSilentLink is a link whose open connections can be silenced for good.
+func newSilentLink(t *testing.T, name, upstream string) *link {
+	l := newLink(t, name, upstream)
+	for _, stream := range []string{"upstream", "downstream"} {
+		_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(
+			`{"name":"silence-%s","type":"silence","stream":%q,"attributes":{"link":%q}}`, stream, stream, l.addr)))
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return l
+}
+
+// silenceOpen silences the connections that are open now, for good.
+func (l *link) silenceOpen() {
+	silences.Lock()
+	defer silences.Unlock()
+	if open := silences.of[l.addr]; open != nil {
+		close(open)
+	}
+	silences.of[l.addr] = make(chan struct{})
+}
