Pass over entries of the store that cannot be read

What callers saw: after one entry whose value is not base64, or an object, a node that lists the store got nothing, the configuration included: it never became ready, or kept an old version (CONFIG). A watch that met such an entry failed and was taken up again at the same revision, for ever.

Class: what one element says must not reach beyond it.

Ruled out elsewhere: the product's own key-value client speaks to a service that encodes values itself; catalog, node and upstream entries are decoded one by one; the exchange carries only what was decoded.

--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -77,7 +77,7 @@
 	sequence atomic.Int64
 	open     atomic.Int64
 	stopAt   atomic.Int64 // Unix nanoseconds of the signal to stop; 0 before it
-	configIn int64        // version in force
+	configIn int64        // revision of the configuration that was looked at last
 	rngMu    sync.Mutex
 	rng      *rand.Rand
 	servers  []*http.Server
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -154,6 +154,7 @@
 type decodedServer struct {
 	revision int64
 	server   traffic.Upstream
+	unusable bool // the entry names no server
 }
 
 // applyServers takes in the list of servers; entries that did not change are
@@ -167,13 +168,14 @@
 		if !ok || known.revision != it.Revision {
 			s, err := n.platform.DecodeServer(it.Key, it.Value)
 			if err != nil {
-				klog.ErrorS(err, "server_entry_unreadable", "key", it.Key)
-				continue
+				klog.ErrorS(err, "server_entry_unusable", "key", it.Key, "revision", it.Revision)
 			}
-			known = decodedServer{it.Revision, s}
+			known = decodedServer{it.Revision, s, err != nil}
 		}
 		decoded[it.Key] = known
-		list = append(list, known.server)
+		if !known.unusable {
+			list = append(list, known.server)
+		}
 	}
 	n.decoded = decoded
 	n.fleet.set(list)
@@ -183,6 +185,7 @@
 	if n.configIn == revision {
 		return
 	}
+	n.configIn = revision
 	c, err := n.platform.DecodeConfig(raw)
 	if err != nil {
 		klog.ErrorS(err, "configuration_unreadable", "revision", revision)
@@ -191,7 +194,6 @@
 	if c.Version < n.version() {
 		return
 	}
-	n.configIn = revision
 	n.table.Store(traffic.NewTable(c))
 	_, source := n.view.Complete()
 	klog.InfoS("configuration", "version", c.Version, "revision", revision, "routes", len(c.Routes), "source", source)
--- a/src/traffic/config.go
+++ b/src/traffic/config.go
@@ -116,4 +116,5 @@
 	Spot          bool
 	Leaves        time.Duration // time until it is gone when draining; 0 if not told
 	Cold          time.Duration
+	Born          int64 // Unix milliseconds of its start; 0 if not told. Another value is another life
 }
