--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/crankridge/crankridge/src/conn"
 	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/telemetry"
 	"github.com/crankridge/crankridge/src/view"
@@ -15,15 +15,14 @@
 
 // Sizes and times of the exchange.
 const (
-	interval      = 250 * time.Millisecond
-	callLimit     = 800 * time.Millisecond
-	fanOut        = 8  // peers asked in one round
-	seedsBelow    = 3  // seeds are asked as well while fewer nodes are known
-	seedEvery     = 8  // rounds between asking a seed although nodes are known
-	relayMost     = 12 // records passed on in one message
-	idlePerPeer   = 2
-	idleTimeout   = 10 * time.Second
-	keepAliveIdle = 3 * time.Second
+	interval    = 250 * time.Millisecond
+	callLimit   = 800 * time.Millisecond
+	fanOut      = 8  // peers asked in one round
+	seedsBelow  = 3  // seeds are asked as well while fewer nodes are known
+	seedEvery   = 8  // rounds between asking a seed although nodes are known
+	relayMost   = 12 // records passed on in one message
+	idlePerPeer = 2
+	idleTimeout = 10 * time.Second
 )
 
 // Node takes part in the exchange.
@@ -36,6 +35,9 @@
 	// NeedsAll tells whether the node needs the records of all others though
 	// it is no hub; nil means never.
 	NeedsAll func() bool
+	// OnSilent is called when a kept connection to a peer has fallen silent
+	// and a new one works; nil means that nobody wants to know.
+	OnSilent func(address string)
 
 	client  *http.Client
 	mu      sync.Mutex
@@ -50,9 +52,9 @@
 
 // Start makes the node ready once its public fields are set.
 func (n *Node) Start() {
-	dialer := &net.Dialer{Timeout: callLimit, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: 2}}
-	tr := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: idleTimeout, DisableCompression: true}
-	n.client = &http.Client{Transport: tr}
+	n.client = &http.Client{Transport: &conn.Kept{OnSilent: n.OnSilent, Transport: &http.Transport{
+		DialContext: conn.Dialer(callLimit).DialContext, MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}}
 	n.peers = map[string]Cluster{}
 	n.busy = map[string]bool{}
 	n.reached = map[string]*telemetry.Dependency{}
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/crankridge/crankridge/src/conn"
 	"github.com/crankridge/crankridge/src/traffic"
 )
 
@@ -116,13 +116,21 @@
 	if idle == 0 {
 		idle = serverIdle
 	}
-	dialer := &net.Dialer{Timeout: serverDial, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idle,
+		DialContext: conn.Dialer(serverDial).DialContext, MaxIdleConnsPerHost: idlePerServer, IdleConnTimeout: idle,
 		DisableCompression: true, MaxResponseHeaderBytes: 64 << 10,
 	}
 }
 
+// dropIdle gives up the connections that no request uses just now.
+func (f *fleet) dropIdle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.upstreams {
+		s.client.CloseIdleConnections()
+	}
+}
+
 // leave marks a server as leaving; it is never used again. It reports whether
 // that is news.
 func (f *fleet) leave(id string) bool {
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -102,7 +102,7 @@
 		ledger: duty.NewLedger(), metrics: metrics, scaler: newScaler(), beliefs: newBeliefs(time.Now), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
-	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds, Entries: n.entries, NeedsAll: n.holdsDuty}
+	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds, Entries: n.entries, NeedsAll: n.holdsDuty, OnSilent: n.connectionsSilent}
 	n.peers.Start()
 	n.lease = duty.NewLease(n.store, leaseKey, set.Node, set.Duties.Lease, time.Now)
 	n.report = &duty.Usage{
@@ -292,6 +292,13 @@
 	}
 }
 
+// connectionsSilent takes a kept connection to a peer that fell silent while
+// new ones work as a sign that those to the servers did as well.
+func (n *Node) connectionsSilent(peer string) {
+	klog.InfoS("connections_silent", "peer", peer)
+	n.fleet.dropIdle()
+}
+
 // readiness tells the platform whether clients may be sent here.
 func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
 	if n.stopping() || n.table.Load() == nil {
--- a/src/view/follow.go
+++ b/src/view/follow.go
@@ -13,7 +13,7 @@
 
 const (
 	retryFirst = 100 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
 )
 
 // Watchable is a key-value service that can be listed and watched.
