Let a young process retry with a small part of its share

What callers saw: servers were sent more repeats than is allowed (BUDGET: 'service msaidizi: N arrivals beyond the first of their request').

Cause: each life of a process began with a whole share. What the life before it had used in the same window was not counted anywhere.

Class: a limit over a window must hold over the lives of a process. Nobody knows what was used where all start again, so a process younger than a window takes the worst: with a quarter of its share, and the part beyond the ratio growing with its age, any number of lives stays within the limit. On the very first start of the system there was no life before.

--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -98,7 +98,7 @@
 	n := &Node{
 		set: set, platform: p, store: p.Store(), headers: p.Headers(), view: view.New(), fleet: newFleet(time.Now),
 		members: cluster.NewMembers(set.Node, time.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(set.Quota)),
-		budget: request.NewWindowBudget(set.Retries.Ratio, set.Retries.Extra, set.Retries.Window),
+		budget: request.NewWindowBudget(set.Retries.Ratio, set.Retries.Extra, set.Retries.Window, set.FirstStart),
 		ledger: duty.NewLedger(), metrics: metrics, scaler: newScaler(), beliefs: newBeliefs(time.Now), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
--- a/src/request/window.go
+++ b/src/request/window.go
@@ -9,6 +9,7 @@
 const (
 	ratioUsed   = 0.8
 	extraUsed   = 0.6
+	youngUsed   = 0.25 // of that, while the life of the process before may have used its share in the same window
 	windowSlots = 20
 )
 
@@ -20,6 +21,7 @@
 	ratio  float64
 	extra  float64
 	window time.Duration
+	first  bool // no process of the system ran before this one
 	slots  map[string]*[windowSlots + 1]windowSlot
 }
 
@@ -29,9 +31,12 @@
 	repeats  float64
 }
 
-// NewWindowBudget allows ratio repeats for each request and extra more, in any window.
-func NewWindowBudget(ratio, extra float64, window time.Duration) *WindowBudget {
-	return &WindowBudget{ratio: ratio, extra: extra, window: window, slots: map[string]*[windowSlots + 1]windowSlot{}}
+// NewWindowBudget allows ratio repeats for each request and extra more, in any
+// window. Unless first tells that no process of the system ran before this
+// one, its first window begins with a small part: what the process before it
+// used is not known.
+func NewWindowBudget(ratio, extra float64, window time.Duration, first bool) *WindowBudget {
+	return &WindowBudget{ratio: ratio, extra: extra, window: window, first: first, slots: map[string]*[windowSlots + 1]windowSlot{}}
 }
 
 // SetLimits changes what is allowed from now on.
@@ -85,7 +90,7 @@
 			v.Repeats += s.repeats
 		}
 	}
-	v.Allowed = b.ratio*ratioUsed*v.Requests + b.extra*extraUsed/float64(v.Nodes)
+	v.Allowed = b.allowed(v.Requests, v.Nodes, now)
 	if v.Repeats+1 > v.Allowed {
 		return v
 	}
@@ -94,3 +99,15 @@
 	current.repeats++
 	return v
 }
+
+// allowed is how many repeats this node may send in the window that ends now.
+// While the process is younger than a window, the part beyond the ratio grows
+// with its age, so that several short lives add up to no more than a long one.
+func (b *WindowBudget) allowed(requests float64, nodes int, now time.Duration) float64 {
+	ratio := b.ratio * ratioUsed * requests
+	extra := b.extra * extraUsed / float64(nodes)
+	if b.first || now >= b.window {
+		return ratio + extra
+	}
+	return youngUsed * (ratio + extra*now.Seconds()/b.window.Seconds())
+}
