Divide limits among the nodes that are stored, not among those heard of late

Cause: the part of the retry budget beyond the ratio was divided by the members heard within 10 s. A node that heard nobody took all of it: the logs show budget_nodes=1 at each of nine nodes from 12 s after the cut. Customers' limits did the same after 20 s, and a hub that began anew told the number of those that had reported to it so far.

Class: a share must not grow because news stops. A roster now holds the nodes that are stored or were heard; one goes on news only: its entry has left the store and it was silent for 20 s since. For that, a node stores its entry under a lease of 10 s (renewed every 3 s), and removes it when it stops. That also mends the known gap that entries of gone nodes were never removed.

--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -79,7 +79,7 @@
 // mayRetry takes one repeat from the budget, and keeps what decided for the log.
 func (f *flight) mayRetry() bool {
 	n := f.n
-	v := n.budget.Spend(f.a.service, n.members.Count(), time.Since(n.began))
+	v := n.budget.Spend(f.a.service, n.roster.Count(), time.Since(n.began))
 	n.metrics.Retry(f.a.service, v.Granted, v.Nodes)
 	if !v.Granted {
 		f.inputs = []any{"budget_nodes", v.Nodes, "budget_requests", v.Requests, "budget_repeats", v.Repeats, "budget_allowed", v.Allowed}
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -62,6 +62,7 @@
 	table   atomic.Pointer[traffic.Table]
 	fleet   *fleet
 	members *cluster.Members
+	roster  *cluster.Roster
 	peers   *cluster.Node
 	quota   *admit.SharedLimiter
 	budget  *request.WindowBudget
@@ -84,8 +85,8 @@
 	metrics  *telemetry.Gateway
 	reloaded atomic.Pointer[Settings]
 
-	entryList atomic.Pointer[[]cluster.Entry]
-	decoded   map[string]decodedServer // by key; of the loop that applies changes
+	entry   registration             // of the loop that registers, and of Run after it
+	decoded map[string]decodedServer // by key; of the loop that applies changes
 }
 
 // New assembles a node.
@@ -97,12 +98,12 @@
 	now := time.Now()
 	n := &Node{
 		set: set, platform: p, store: p.Store(), headers: p.Headers(), view: view.New(), fleet: newFleet(time.Now),
-		members: cluster.NewMembers(set.Node, time.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(set.Quota)),
+		members: cluster.NewMembers(set.Node, time.Now), roster: cluster.NewRoster(set.Node, time.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(set.Quota)),
 		budget: request.NewWindowBudget(set.Retries.Ratio, set.Retries.Extra, set.Retries.Window, set.FirstStart),
 		ledger: duty.NewLedger(), metrics: metrics, scaler: newScaler(), beliefs: newBeliefs(time.Now), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
-	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds, Entries: n.entries, NeedsAll: n.holdsDuty, OnSilent: n.connectionsSilent}
+	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAll: n.holdsDuty, OnSilent: n.connectionsSilent}
 	n.peers.Start()
 	n.lease = duty.NewLease(n.store, leaseKey, set.Node, set.Duties.Lease, time.Now)
 	n.report = &duty.Usage{
@@ -110,6 +111,7 @@
 		Window: set.Duties.UsageWindow, Late: set.Duties.UsageLate, Clock: n.agreed, AllHeard: n.members.AllHeard,
 	}
 	n.buyer = &capacity.Buyer{Lease: n.lease, Sender: p, Now: time.Now}
+	n.entry = registration{store: n.store, key: nodePrefix + set.Node, entry: nodeEntry{Peers: set.Listen.Peers, FailureDomain: set.FailureDomain}}
 	n.reloaded.Store(&set)
 	return n, n.gauges()
 }
@@ -122,7 +124,7 @@
 			complete, _ := n.view.Complete()
 			return float64(complete)
 		}),
-		n.metrics.Gauge("members", "nodes among which limits are divided", func() float64 { return float64(n.members.Count()) }),
+		n.metrics.Gauge("members", "nodes among which limits are divided", func() float64 { return float64(n.roster.Count()) }),
 		n.metrics.Gauge("open_requests", "requests of clients in progress", func() float64 { return float64(n.open.Load()) }),
 		n.metrics.Gauge("duty_held", "1 while this node may act for the system", func() float64 {
 			if n.holdsDuty() {
@@ -162,12 +164,20 @@
 	go process.Every(work, stepEvery, n.spread)
 	go n.backstopLoop(work)
 	go n.deafLoop(work)
-	go n.registerLoop(work)
+	registering, unregister := context.WithCancel(work)
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		n.registerLoop(registering)
+	}()
 	if n.set.Duties.Usage || n.set.Duties.Scale {
 		go n.dutyLoop(work)
 	}
 	<-ctx.Done()
 	n.stop()
+	unregister()
+	<-registered
+	n.unregister()
 	return nil
 }
 
@@ -236,7 +246,7 @@
 	}
 	if c := a.customer; c != nil && c.Rate > 0 {
 		if ok, wait := n.quota.Take(c.Name, a.cost(), a.priority, c.Rate, c.Burst, time.Now()); !ok {
-			inputs := []any{"customer", c.Name, "cost", a.cost(), "rate", c.Rate, "priority", a.priority, "members", n.members.Count()}
+			inputs := []any{"customer", c.Name, "cost", a.cost(), "rate", c.Rate, "priority", a.priority, "members", n.roster.Count()}
 			return &refusal{status: http.StatusTooManyRequests, code: codeQuota, wait: wait, inputs: inputs}
 		}
 		if n.quota.Urgent(c.Name, c.Rate) {
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log"
 	"math/rand/v2"
 	"net"
-	"slices"
-	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,12 +14,6 @@
 	"github.com/crankridge/crankridge/src/traffic"
 )
 
-// nodeEntry is what a node stores of itself, for others to find it.
-type nodeEntry struct {
-	Peers         string `json:"peers"`
-	FailureDomain string `json:"failure_domain"`
-}
-
 func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 
 // quietLog drops the HTTP library's own lines, which name no request.
@@ -54,19 +45,20 @@
 
 // Times for which what a node told counts.
 const (
-	sharesFor = 20 * time.Second // its share of customers' limits
-	youngFor  = 10 * time.Second // a younger process also counts nodes that it knows by their entry alone
 	fedFor    = 1500 * time.Millisecond
 	leadAfter = 5 * time.Second // a process of a large system that is no hub tries for the duties after
 )
 
 // spread takes in what the other nodes told, or what a hub told of them all.
 func (n *Node) spread() {
+	for _, m := range n.members.All() {
+		n.roster.Heard(m.Record.Node, m.Heard)
+	}
 	if summary, hub, at, ok := n.members.Summary(); ok && !n.peers.Hub() {
 		n.spreadSummary(summary, hub, at)
 		return
 	}
-	n.quota.SetNodes(n.sharers())
+	n.quota.SetNodes(n.roster.Others())
 	for _, m := range n.members.All() {
 		r := m.Record
 		if r.Node != n.set.Node {
@@ -86,7 +78,7 @@
 }
 
 func (n *Node) spreadSummary(s *cluster.Summary, hub string, at time.Time) {
-	n.quota.SetSum(hub, int(s.Nodes)-1)
+	n.quota.SetSum(hub, max(int(s.Nodes), n.roster.Count())-1)
 	n.quota.Heard(hub, sumIncarnation, totalsOf(s.Admitted), at)
 	elsewhere := make(map[string]remoteLoad, len(s.Heavy))
 	for _, load := range s.Heavy {
@@ -106,23 +98,6 @@
 	return totals
 }
 
-// sharers are the other nodes among which customers' limits are divided.
-func (n *Node) sharers() []string {
-	var names []string
-	for _, r := range n.members.Others(sharesFor) {
-		names = append(names, r.Node)
-	}
-	if time.Since(n.began) > youngFor {
-		return names
-	}
-	for _, e := range n.entries() {
-		if e.Node != n.set.Node && !slices.Contains(names, e.Node) {
-			names = append(names, e.Node)
-		}
-	}
-	return names
-}
-
 // applyLoop puts every change of the view in force.
 func (n *Node) applyLoop(ctx context.Context) {
 	for {
@@ -245,34 +220,10 @@
 	}
 }
 
-// registerLoop stores where this node is found, once the store lets it.
-func (n *Node) registerLoop(ctx context.Context) {
-	raw, err := json.Marshal(nodeEntry{Peers: n.set.Listen.Peers, FailureDomain: n.set.FailureDomain})
-	if err != nil {
-		return
-	}
-	key := nodePrefix + n.set.Node
-	for ctx.Err() == nil {
-		have, _, _, err := n.store.Get(ctx, key)
-		if err == nil && string(have.Value) == string(raw) {
-			return
-		}
-		if err == nil {
-			if swap, err := n.store.PutIf(ctx, key, raw, have.Revision, 0); err == nil && swap.Won {
-				return
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Second):
-		}
-	}
-}
-
 // seeds are addresses where other nodes may be found.
 func (n *Node) seeds() []string {
 	out := append([]string{}, n.settings().Seeds...)
-	for _, e := range n.entries() {
+	for _, e := range n.roster.Entries() {
 		if e.Node != n.set.Node {
 			out = append(out, e.Peers)
 		}
@@ -280,25 +231,6 @@
 	return out
 }
 
-// entries are the nodes that are stored.
-func (n *Node) entries() []cluster.Entry {
-	if known := n.entryList.Load(); known != nil {
-		return *known
-	}
-	return nil
-}
-
-func (n *Node) applyEntries() {
-	var out []cluster.Entry
-	for _, it := range n.view.List(nodePrefix) {
-		var e nodeEntry
-		if json.Unmarshal(it.Value, &e) == nil {
-			out = append(out, cluster.Entry{Node: strings.TrimPrefix(it.Key, nodePrefix), FailureDomain: e.FailureDomain, Peers: e.Peers})
-		}
-	}
-	n.entryList.Store(&out)
-}
-
 // fed tells whether a hub tells this node of changes of the store, so that it
 // needs no watch of its own.
 func (n *Node) fed() bool {
