End what is believed of a server with its life

What callers saw: a request that may run again waited until its time limit (504 after 1 s in the test) for a server that had started again under its id and knew nothing of it. A server that had been leaving, or whose address had once answered for another, was never used again under that id.

Cause: beliefs were kept by id alone: leaving, failures, ejection, load, kept connections and what its memory holds. Class: what is believed of a peer or a server must end with its life.

Now an entry's born tells lives apart. Another value makes a new upstream with new connections; sends to the old one end at once with an unknown fate, so what may run again goes elsewhere within the budget. A server that only leaves the list keeps its life: it may answer for a while. Entries without born are one life, as before.

--- a/src/gateway/cache.go
+++ b/src/gateway/cache.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -43,6 +45,16 @@
 	}
 }
 
+// forget drops what is believed of servers whose life is over.
+func (b *beliefs) forget(servers []string) {
+	if len(servers) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.kept, func(key belief, _ time.Time) bool { return slices.Contains(servers, key.server) })
+}
+
 // holds tells whether an engine is believed to keep a part.
 func (b *beliefs) holds(server, part string) bool {
 	b.mu.Lock()
--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"maps"
 	"net/http"
 	"slices"
@@ -9,6 +10,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/crankridge/crankridge/src/conn"
 	"github.com/crankridge/crankridge/src/traffic"
 )
@@ -25,9 +28,11 @@
 	failureHalf     = 0.8 // weight that a server's failure rate keeps with each answer
 )
 
-// upstream is one server with what this node has there.
+// upstream is one life of a server with what this node has there.
 type upstream struct {
 	traffic.Upstream
+	life      context.Context // ends when the server has started again: what it was sent is lost
+	end       context.CancelFunc
 	client    *http.Transport
 	idle      time.Duration // after which its connections are given up
 	leaving   bool
@@ -59,17 +64,25 @@
 	return &fleet{upstreams: map[string]*upstream{}, idle: map[string]time.Duration{}, now: now}
 }
 
-// set takes in the servers that are listed; the others are gone.
-func (f *fleet) set(list []traffic.Upstream) {
+// set takes in the servers that are listed; the others are gone. It returns
+// the ids of those that are gone or have started again, of which nothing that
+// was known holds any more.
+func (f *fleet) set(list []traffic.Upstream) (over []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
 		known := f.upstreams[s.ID]
+		if known != nil && known.Born != s.Born {
+			over = append(over, s.ID)
+			known.end()
+			known.client.CloseIdleConnections()
+			klog.InfoS("server_born_again", "server", s.ID, "born", s.Born, "before", known.Born, "requests", known.requests)
+			known = nil
+		}
 		if known == nil {
-			idle := f.idle[s.Service]
-			known = &upstream{client: newServerTransport(idle), idle: idle}
+			known = f.newUpstream(s.Service)
 			f.upstreams[s.ID] = known
 		}
 		known.Upstream = s
@@ -77,10 +90,23 @@
 	}
 	for id, s := range f.upstreams {
 		if !listed[id] {
+			// It may serve on for a while what it was sent: its life is not ended.
+			over = append(over, id)
 			delete(f.upstreams, id)
 			s.client.CloseIdleConnections()
 		}
 	}
+	f.sortByService()
+	return over
+}
+
+func (f *fleet) newUpstream(service string) *upstream {
+	idle := f.idle[service]
+	life, end := context.WithCancel(context.Background())
+	return &upstream{life: life, end: end, client: newServerTransport(idle), idle: idle}
+}
+
+func (f *fleet) sortByService() {
 	f.byService = map[string][]*upstream{}
 	for _, id := range slices.Sorted(maps.Keys(f.upstreams)) {
 		s := f.upstreams[id]
@@ -131,13 +157,12 @@
 	}
 }
 
-// leave marks a server as leaving; it is never used again. It reports whether
-// that is news.
-func (f *fleet) leave(id string) bool {
+// leave marks one life of a server as leaving; it is never used again. It
+// reports whether that is news.
+func (f *fleet) leave(s *upstream) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.upstreams[id]
-	if s == nil || s.leaving {
+	if f.upstreams[s.ID] != s || s.leaving {
 		return false
 	}
 	s.leaving = true
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -128,7 +128,7 @@
 		return false, sent.err
 	case refused:
 		if sent.answer.StatusCode == http.StatusMisdirectedRequest {
-			n.serverLeft(s.ID)
+			n.serverLeft(s)
 		}
 		return false, errRefused
 	case unknown:
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -296,9 +296,9 @@
 	return c.upstream, a.tokensIn, ok
 }
 
-func (n *Node) serverLeft(id string) {
-	if n.fleet.leave(id) {
-		klog.InfoS("server_left", "server", id, "by", "answer")
+func (n *Node) serverLeft(s *upstream) {
+	if n.fleet.leave(s) {
+		klog.InfoS("server_left", "server", s.ID, "by", "answer")
 	}
 }
 
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -59,7 +59,12 @@
 
 // send sends the request to one server and reads the answer's head.
 func (n *Node) send(ctx context.Context, a *ask, s *upstream, lastEvent string) sent {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, end := context.WithCancel(ctx)
+	detach := context.AfterFunc(s.life, end)
+	cancel := func() {
+		detach()
+		end()
+	}
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	request := n.outgoing(ctx, a, s, lastEvent)
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -153,7 +153,7 @@
 		}
 	}
 	n.decoded = decoded
-	n.fleet.set(list)
+	n.beliefs.forget(n.fleet.set(list))
 }
 
 func (n *Node) applyConfig(raw []byte, revision int64) {
--- a/test/incident_test.go
+++ b/test/incident_test.go
@@ -146,3 +146,29 @@
 		t.Errorf("%d repeats in one window, allowed %.0f", got, allowed)
 	}
 }
+
+// Issue 19: a request waited until its time limit for a server that had started again and knew nothing of it.
+func TestRequestGoesOnElsewhereWhenItsServerIsBornAgain(t *testing.T) {
+	b := newGatewayBench(t)
+	servers := []*fake.Server{b.server("i-0"), b.server("i-1")}
+	n := b.start(b.store.Address())
+	b.listed(n, "before")
+	for _, s := range servers {
+		s.Behave(fake.Mute)
+	}
+	answers := make(chan gatewayAnswer, 1)
+	go func() { answers <- n.ask(gatewayAsk{method: http.MethodGet, path: "/repeat/x", id: "waits"}) }()
+	b.eventually("a server has the request", func() bool { return runsOf(servers[0], "waits")+runsOf(servers[1], "waits") == 1 })
+	first, other := servers[0], servers[1]
+	if runsOf(other, "waits") == 1 {
+		first, other = other, first
+	}
+	other.Behave(fake.Well)
+	entry := first.Entry("plain", "zone-1", "ready")
+	entry["born"] = time.Now().UnixMilli()
+	b.store.Put("servers/"+first.ID, entry)
+	answer := <-answers
+	b.is.Equal(answer.status, http.StatusOK)
+	b.is.Equal(answer.body, "answer of "+other.ID)
+	b.is.True(answer.took < 900*time.Millisecond) // its time limit is a second
+}
