Hear a node again that started after its clock had stepped back

What callers would see: such a node's records count as old at all others for a minute. Its load, its customers' admissions and its usage go untold, it is not given to clients, and others divide limits without it.

Cause: an incarnation is the time of day of the start, and lives are ordered by it. Class: an order between lives must not rest on a clock that steps.

Now whoever is told a record that is behind the one it knows says so in its answer, and the node takes a higher incarnation. Its own earlier record is not counted as that of a life that is over.

TestNodeIsHeardAgainAfterItsClockSteppedBack failed before (the others stayed at incarnation 900).

--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -35,6 +35,10 @@
 	// NeedsAll tells whether the node needs the records of all others though
 	// it is no hub; nil means never.
 	NeedsAll func() bool
+	// Raise is called with the incarnation under which others know an earlier
+	// life of this node. The own record must bear a higher one to be heard: the
+	// clock may have stepped back between the lives. nil leaves it.
+	Raise func(above int64)
 	// OnSilent is called when a kept connection to a peer has fallen silent
 	// and a new one works; nil means that nobody wants to know.
 	OnSilent func(address string)
@@ -253,6 +257,9 @@
 	default:
 		n.addOthers(out, n.Members.Lacking(m.Known, m.GetOwn().GetNode(), relayMost))
 	}
+	if known := n.Members.later(m.Own); known != nil {
+		out.Known = append(out.Known, known)
+	}
 	if m.Complete < out.Complete {
 		n.addChanges(out, m.Complete)
 	}
@@ -302,6 +309,11 @@
 }
 
 func (n *Node) take(m *Message, at time.Time) {
+	for _, k := range m.Known {
+		if n.Raise != nil && k.Node == n.Members.self {
+			n.Raise(k.Incarnation)
+		}
+	}
 	n.Members.Take(m.Own)
 	for i, r := range m.Others {
 		n.Members.TakeAged(r, ageOf(m, i))
--- a/src/cluster/members.go
+++ b/src/cluster/members.go
@@ -75,7 +75,7 @@
 	if ok && !newer(r, old.Record) {
 		return false
 	}
-	if ok && r.Incarnation != old.Record.Incarnation {
+	if ok && r.Incarnation != old.Record.Incarnation && r.Node != m.self {
 		m.keepPast(old.Record)
 	}
 	m.members[r.Node] = Member{r, m.now().Add(-age)}
@@ -131,6 +131,18 @@
 	return out
 }
 
+// later names the incarnation of a later life, as far as its number says so,
+// under which the node of a record is known; nil when there is none.
+func (m *Members) later(r *Record) *Known {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.members[r.GetNode()]
+	if !ok || known.Record.Incarnation <= r.GetIncarnation() {
+		return nil
+	}
+	return &Known{Node: r.GetNode(), Incarnation: known.Record.Incarnation, Sequence: known.Record.Sequence}
+}
+
 // Lacking returns up to most members whose records are newer than those known
 // to a peer.
 func (m *Members) Lacking(known []*Known, peer string, most int) []Member {
--- a/src/cluster/members_test.go
+++ b/src/cluster/members_test.go
@@ -143,3 +143,40 @@
 	is.Equal(len(m.Others(countedFor)), 2) // limits and usage still count it
 	is.True(!m.TakeAged(&Record{Node: "long gone", Incarnation: 1}, forgetFor))
 }
+
+// Issue 19: a node that started again after its clock had stepped back told records that all others took for old.
+func TestNodeIsHeardAgainAfterItsClockSteppedBack(t *testing.T) {
+	is := is.New(t)
+	node := func(name string, incarnation int64) *Node {
+		n := &Node{Members: NewMembers(name, time.Now), View: view.New()}
+		sequence := int64(0)
+		n.Own = func() *Record {
+			sequence++
+			return &Record{Node: name, Incarnation: incarnation, Sequence: sequence}
+		}
+		n.Raise = func(above int64) { incarnation = max(incarnation, above+1) }
+		n.Entries = func() []Entry { return nil }
+		n.Start()
+		return n
+	}
+	for _, scope := range []Scope{Scope_LACKING, Scope_DIRECT, Scope_SUMMARY} {
+		hub, again := node("hub", 7), node("again", 500)
+		hub.Members.Take(&Record{Node: "again", Incarnation: 900, Sequence: 4000})
+		for range 2 {
+			answer, err := hub.Exchange(context.Background(), again.question(scope))
+			is.NoErr(err)
+			again.take(answer, time.Now())
+		}
+		is.Equal(hub.Members.Others(time.Minute)[0].Incarnation, int64(901))
+		is.True(hub.Members.Others(time.Minute)[0].Sequence < 4000)
+	}
+}
+
+func TestOwnRecordCountsOnceAfterItsIncarnationRose(t *testing.T) {
+	is := is.New(t)
+	m := NewMembers("self", time.Now)
+	for incarnation := range int64(3) {
+		m.Take(&Record{Node: "self", Incarnation: incarnation + 1, Sequence: incarnation + 1, Admitted: []*Tally{{Name: "c", Total: 10}}})
+	}
+	is.Equal(m.Summarize("other", time.Now()).Admitted[0].Total, 10.0)
+}
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -74,16 +74,17 @@
 	scaler  *scaler
 	beliefs *beliefs
 
-	began    time.Time
-	sequence atomic.Int64
-	open     atomic.Int64
-	stopAt   atomic.Int64 // Unix nanoseconds of the signal to stop; 0 before it
-	configIn int64        // revision of the configuration that was looked at last
-	rngMu    sync.Mutex
-	rng      *rand.Rand
-	servers  []*http.Server
-	metrics  *telemetry.Gateway
-	reloaded atomic.Pointer[Settings]
+	began       time.Time
+	incarnation atomic.Int64
+	sequence    atomic.Int64
+	open        atomic.Int64
+	stopAt      atomic.Int64 // Unix nanoseconds of the signal to stop; 0 before it
+	configIn    int64        // revision of the configuration that was looked at last
+	rngMu       sync.Mutex
+	rng         *rand.Rand
+	servers     []*http.Server
+	metrics     *telemetry.Gateway
+	reloaded    atomic.Pointer[Settings]
 
 	entry   registration             // of the loop that registers, and of Run after it
 	decoded map[string]decodedServer // by key; of the loop that applies changes
@@ -103,7 +104,8 @@
 		ledger: duty.NewLedger(), metrics: metrics, scaler: newScaler(), beliefs: newBeliefs(time.Now), began: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.usage = newUsageCounter(set.Duties.UsageWindow, n.agreed)
-	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAll: n.holdsDuty, OnSilent: n.connectionsSilent}
+	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.record, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAll: n.holdsDuty, OnSilent: n.connectionsSilent, Raise: n.raiseIncarnation}
+	n.incarnation.Store(now.UnixMicro())
 	n.peers.Start()
 	n.lease = duty.NewLease(n.store, leaseKey, set.Node, set.Duties.Lease, time.Now)
 	n.report = &duty.Usage{
@@ -302,6 +304,14 @@
 	}
 }
 
+// raiseIncarnation makes the own record later than those of an earlier life.
+func (n *Node) raiseIncarnation(above int64) {
+	own := n.incarnation.Load()
+	if own < above && n.incarnation.CompareAndSwap(own, above+1) {
+		klog.InfoS("incarnation_raised", "from", own, "to", above+1)
+	}
+}
+
 // connectionsSilent takes a kept connection to a peer that fell silent while
 // new ones work as a sign that those to the servers did as well.
 func (n *Node) connectionsSilent(peer string) {
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -27,7 +27,7 @@
 // record is what this node tells of itself now.
 func (n *Node) record() *cluster.Record {
 	r := &cluster.Record{
-		Node: n.set.Node, Incarnation: n.began.UnixMicro(), Sequence: n.sequence.Add(1), Peers: n.set.Listen.Peers,
+		Node: n.set.Node, Incarnation: n.incarnation.Load(), Sequence: n.sequence.Add(1), Peers: n.set.Listen.Peers,
 		Callers: n.set.Listen.Callers, FailureDomain: n.set.FailureDomain, Leaving: n.stopping(), Ready: n.table.Load() != nil,
 	}
 	for name, total := range n.quota.Totals() {
