Keep what a silent node told of its customers' demand

Now a reading holds while its node is there, however long it is silent; the list of nodes comes from the stored records, so it shrinks on news only.

TestPartOfALimitDoesNotGrowWhenNewsStops failed before (the part grew past 1.1 of an even one).

--- a/src/admit/admit_test.go
+++ b/src/admit/admit_test.go
@@ -154,3 +154,37 @@
 	}
 	is.True(l.share("c", 10, 2, at.Add(10*time.Second)) < 2)
 }
+
+// Issue 19, the same class: a node that heard nothing for 30 s took most of the limit.
+func TestPartOfALimitDoesNotGrowWhenNewsStops(t *testing.T) {
+	is := is.New(t)
+	const limit, nodes, steps, step = 100.0, 3, 800, 100 * time.Millisecond
+	now := time.Unix(1000, 0)
+	l := NewLimiter("self")
+	l.SetLive([]string{"self", "a", "b"})
+	for _, node := range []string{"a", "b"} {
+		l.Heard(Demand{Node: node, Customer: "c", Rate: 100, At: now})
+	}
+	allowed := 0
+	for i := range steps {
+		now = now.Add(step)
+		for range 10 { // 100 a second, as each of the others asks
+			if ok, _ := l.Allow("c", limit, nodes, now); ok && i >= steps/2 {
+				allowed++
+			}
+		}
+	}
+	rate := float64(allowed) / (steps / 2 * step.Seconds())
+	is.True(rate < limit/nodes*1.1)
+	l.SetLive([]string{"self"}) // the others are gone: their records have left the store
+	allowed = 0
+	for range steps {
+		now = now.Add(step)
+		for range 10 {
+			if ok, _ := l.Allow("c", limit, 1, now); ok {
+				allowed++
+			}
+		}
+	}
+	is.True(float64(allowed)/(steps*step.Seconds()) > limit*0.9)
+}
--- a/src/admit/limit.go
+++ b/src/admit/limit.go
@@ -30,6 +30,7 @@
 	self    string
 	own     map[string]*meter
 	heard   map[string]map[string]Demand // by customer, then node
+	live    map[string]bool              // nodes whose last reading holds however old it is
 	buckets map[string]*bucket
 	shares  map[string]*portion
 }
@@ -107,13 +108,29 @@
 func (l *Limiter) share(customer string, limit float64, nodes int, now time.Time) float64 {
 	demands := map[string]float64{l.self: l.meter(customer).read(now)}
 	for node, d := range l.heard[customer] {
-		if now.Sub(d.At) < demandStale && node != l.self {
+		if l.holds(d, now) && node != l.self {
 			demands[node] = d.Rate
 		}
 	}
 	return limit * l.portion(customer, nodes, now).move(Share(l.self, demands, max(nodes, 1)), now)
 }
 
+// SetLive tells which nodes are there. What they told last holds while they
+// are silent, so that nobody's part grows because news stops.
+func (l *Limiter) SetLive(nodes []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.live = make(map[string]bool, len(nodes))
+	for _, name := range nodes {
+		l.live[name] = true
+	}
+}
+
+// holds tells whether a reading still counts.
+func (l *Limiter) holds(d Demand, now time.Time) bool {
+	return l.live[d.Node] || now.Sub(d.At) < demandStale
+}
+
 func (l *Limiter) portion(customer string, nodes int, now time.Time) *portion {
 	p := l.shares[customer]
 	if p == nil || now.Sub(p.at) > demandStale {
@@ -180,7 +197,7 @@
 	var out []Demand
 	for _, m := range l.heard {
 		for node, d := range m {
-			if now.Sub(d.At) > demandStale {
+			if !l.holds(d, now) {
 				delete(m, node)
 			} else if len(out) < n {
 				out = append(out, d)
--- a/src/entry/exchange.go
+++ b/src/entry/exchange.go
@@ -98,8 +98,17 @@
 	return out
 }
 
+func namesOf(nodes []member.Node) []string {
+	out := make([]string, 0, len(nodes))
+	for _, o := range nodes {
+		out = append(out, o.Name)
+	}
+	return out
+}
+
 func (n *Node) digest() *peer.Digest {
 	now := time.Now()
+	n.limiter.SetLive(namesOf(n.fleet.Nodes()))
 	d := &peer.Digest{Node: n.self.Name, Incarnation: n.self.Incarnation, Complete: n.revision(), Inflight: int32(n.coord.Open())}
 	for _, dm := range append(n.limiter.Own(now), n.limiter.Sample(demandSample, now)...) {
 		d.Demands = append(d.Demands, &peer.Demand{Node: dm.Node, Customer: dm.Customer, Rate: float32(dm.Rate), AtMs: dm.At.UnixMilli()})
