Bound silence on the product's own connections

A watch that brings nothing for 5 s is begun anew from where it was; control calls give up idle connections beside one that ran out of time; all dialing bounds unacknowledged bytes. A watch's first message, which only says that it was made, no longer counts as having shown everything up to its revision.

--- a/src/engine/client.go
+++ b/src/engine/client.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/crankridge/crankridge/src/conn"
 	"github.com/crankridge/crankridge/src/openai"
 	"github.com/crankridge/crankridge/src/telemetry"
 )
@@ -54,13 +55,13 @@
 func NewClient(dial, timeout time.Duration) *Client {
 	c := &Client{}
 	requests := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
+		DialContext:         conn.Dialer(dial).DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 	}
 	control := &http.Transport{DialContext: c.Control.Dial(dial), MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
 	c.stream = &http.Client{Transport: requests}
-	c.short = &http.Client{Transport: control, Timeout: timeout}
+	c.short = &http.Client{Transport: &conn.Kept{Transport: control}, Timeout: timeout}
 	return c
 }
 
--- a/src/peer/pool.go
+++ b/src/peer/pool.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/crankridge/crankridge/src/conn"
 	"github.com/crankridge/crankridge/src/telemetry"
 )
 
@@ -35,7 +36,7 @@
 		MaxIdleConnsPerHost: idlePerPeer, IdleConnTimeout: idleTimeout,
 		DialContext: p.Traffic.Dial(dialTimeout), DisableCompression: true,
 	}
-	p.client = &http.Client{Transport: withSecret{secret, tr}, Timeout: callTimeout}
+	p.client = &http.Client{Transport: withSecret{secret, &conn.Kept{Transport: tr}}, Timeout: callTimeout}
 	return p
 }
 
--- a/src/ports/kv.go
+++ b/src/ports/kv.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/crankridge/crankridge/src/conn"
 )
 
 // Errors of the key-value port. A write that ends in ErrUnavailable may have
@@ -53,7 +56,7 @@
 // watch ends within timeout.
 func NewKV(base string, timeout time.Duration, dial Dial) *KV {
 	tr := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DialContext: dial}
-	return &KV{base: base, client: &http.Client{Transport: tr}, timeout: timeout}
+	return &KV{base: base, client: &http.Client{Transport: &conn.Kept{Transport: tr}}, timeout: timeout}
 }
 
 // Get reads one key; ok is false when it is not stored. rev is the service's revision.
@@ -144,10 +147,34 @@
 	Revision int64
 }
 
+// watchQuiet is how long a watch may bring no message before it is begun
+// anew: nothing else tells that its connection has fallen silent.
+const watchQuiet = 5 * time.Second
+
+// errQuiet counts as a call that ran out of time.
+var errQuiet = fmt.Errorf("watch brought nothing for %s: %w", watchQuiet, context.DeadlineExceeded)
+
 // Watch calls each for every batch of changes below prefix from revision from
 // on, until ctx ends or the stream breaks. It returns ErrCompacted when the
 // history no longer reaches back to from.
 func (k *KV) Watch(ctx context.Context, prefix string, from int64, each func(Batch)) error {
+	for {
+		err := k.watch(ctx, prefix, from, func(b Batch) {
+			from = max(from, b.Revision+1)
+			each(b)
+		})
+		if !errors.Is(err, errQuiet) {
+			return err
+		}
+	}
+}
+
+// watch follows one stream until it ends or is quiet.
+func (k *KV) watch(ctx context.Context, prefix string, from int64, each func(Batch)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	quiet := time.AfterFunc(watchQuiet, func() { cancel(errQuiet) })
+	defer quiet.Stop()
 	var req WireWatchCreate
 	req.Create.Key = []byte(prefix)
 	req.Create.RangeEnd = prefixEnd(prefix)
@@ -155,18 +182,22 @@
 	req.Create.Progress = true
 	resp, err := k.post(ctx, "/v3/watch", req)
 	if err != nil {
-		return err
+		return errors.Join(err, context.Cause(ctx))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	dec := json.NewDecoder(resp.Body)
 	for {
 		var msg WireWatchResult
 		if err := dec.Decode(&msg); err != nil {
-			return oops.Wrapf(errors.Join(ErrUnavailable, err), "watch")
+			return oops.Wrapf(errors.Join(ErrUnavailable, err, context.Cause(ctx)), "watch")
 		}
+		quiet.Reset(watchQuiet)
 		if msg.Result.Canceled {
 			return ErrCompacted
 		}
+		if msg.Result.Created && len(msg.Result.Events) == 0 {
+			continue // its revision is the service's, not one up to which all was shown
+		}
 		each(batchOf(msg))
 	}
 }
--- a/src/serve/call.go
+++ b/src/serve/call.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/crankridge/crankridge/src/claim"
+	"github.com/crankridge/crankridge/src/conn"
 	"github.com/crankridge/crankridge/src/request"
 	"github.com/crankridge/crankridge/src/route"
 	"github.com/crankridge/crankridge/src/settings"
@@ -43,7 +43,7 @@
 }
 
 func newCallSender(s settings.Entry) *callSender {
-	dial := (&net.Dialer{Timeout: callDial}).DialContext
+	dial := conn.Dialer(callDial).DialContext
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	reuse := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: time.Minute}
 	once := &http.Transport{DialContext: dial, DisableKeepAlives: true}
--- a/src/telemetry/count.go
+++ b/src/telemetry/count.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/crankridge/crankridge/src/conn"
 )
 
 // Traffic counts the bytes of one channel's connections, headers included.
@@ -29,7 +31,7 @@
 
 // Dial returns a dial function whose connections are counted.
 func (t *Traffic) Dial(timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: timeout}
+	d := conn.Dialer(timeout)
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, addr)
 		if err != nil {
