Soak: silent connections, foreign entries, servers born again; budget and last change checked

It checks the retry budget in every window, and that a change made 0.8 s after the faults is in force at every node 3.3 s after them.

--- a/test/bench_test.go
+++ b/test/bench_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -201,6 +202,10 @@
 
 var nextPort atomic.Int64
 
+// Each run begins elsewhere: two at once would take each other's ports between
+// the look and the use.
+func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
+
 func freeAddr(t *testing.T) string {
 	for range lastPort - firstPort {
 		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
--- a/test/incident_test.go
+++ b/test/incident_test.go
@@ -12,9 +12,10 @@
 
 // Bounds of the users' pages.
 const (
-	contactTime = 3 * time.Second // after trouble ends, a machine counts as in touch
-	budgetRatio = 0.2
-	budgetExtra = 50.0
+	contactTime  = 3 * time.Second // after trouble ends, a machine counts as in touch
+	budgetRatio  = 0.2
+	budgetExtra  = 50.0
+	budgetWindow = 10 * time.Second
 )
 
 // versionOf is the version in force at a node.
@@ -76,8 +77,8 @@
 func repeatsAt(servers []*fake.Server) (repeats int) {
 	seen := map[string]int{}
 	for _, s := range servers {
-		for _, id := range s.Arrivals() {
-			seen[id]++
+		for _, a := range s.Arrivals() {
+			seen[a.ID]++
 		}
 	}
 	for _, count := range seen {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -30,7 +31,9 @@
 	soakClients = 8
 	soakSeconds = 6
 	soakSeedsCI = 1
-	soakRestore = 8 * time.Second // in which all nodes serve again after the faults
+	soakRestore = 8 * time.Second        // in which all nodes serve again after the faults
+	soakChange  = 800 * time.Millisecond // after the faults, before a last change
+	soakMargin  = 300 * time.Millisecond // for the machine that plays
 )
 
 // soakRegressions are the seeds that ever failed, each with its cause.
@@ -67,6 +70,7 @@
 
 type soakAnswer struct {
 	id     string
+	at     time.Time
 	once   bool
 	stream bool
 	gatewayAnswer
@@ -121,6 +125,8 @@
 	}
 	running.Wait()
 	s.calm()
+	s.checkChange()
+	s.checkBudget()
 	s.checkRecovery()
 	s.checkAnswers()
 	s.checkDuties()
@@ -161,14 +167,20 @@
 	server := fake.NewServer(id)
 	s.t.Cleanup(server.Close)
 	entry := server.Entry("plain", "zone-1", "ready")
-	l := newLink(s.t, "to-"+id, entry["Address"].(string))
-	entry["Address"] = l.addr
-	s.store.Put("servers/"+id, entry)
+	l := newSilentLink(s.t, "to-"+id, entry["Address"].(string))
 	s.servers, s.links = append(s.servers, server), append(s.links, l)
+	s.list(len(s.servers) - 1)
+}
+
+// list stores a server's entry as the server writes it, with its link's address.
+func (s *soak) list(server int) {
+	entry := s.servers[server].Entry("plain", "zone-1", "ready")
+	entry["Address"] = s.links[server].addr
+	s.store.Put("servers/"+s.servers[server].ID, entry)
 }
 
 func (s *soak) addNode(i int) {
-	p := &soakProc{store: newLink(s.t, fmt.Sprint("store-", i), s.store.Address()), front: freeAddr(s.t), ready: freeAddr(s.t), control: freeAddr(s.t)}
+	p := &soakProc{store: newSilentLink(s.t, fmt.Sprint("store-", i), s.store.Address()), front: freeAddr(s.t), ready: freeAddr(s.t), control: freeAddr(s.t)}
 	var seeds []string
 	for _, other := range s.procs {
 		seeds = append(seeds, other.control)
@@ -203,7 +215,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		p := s.procs[s.pick(len(s.procs))]
 		a := gatewayAsk{method: http.MethodPost, id: fmt.Sprintf("c%d-%d", number, n), body: "body"}
-		answer := soakAnswer{id: a.id}
+		answer := soakAnswer{id: a.id, at: time.Now()}
 		switch s.pick(4) {
 		case 0:
 			a.path, answer.once = "/once/x", true
@@ -234,7 +246,7 @@
 	}{
 		{"kill", s.killNode}, {"stop", s.stopNode}, {"pause", s.pauseNode}, {"hangup", s.hangup},
 		{"store link", s.storeLink}, {"server link", s.serverLink}, {"server manner", s.serverManner},
-		{"store", s.storeTrouble}, {"configure", s.change}, {"cloud", s.cloudTrouble},
+		{"silence", s.silence}, {"born again", s.bornAgain}, {"foreign entry", s.foreignEntry}, {"store", s.storeTrouble}, {"configure", s.change}, {"cloud", s.cloudTrouble},
 	}
 	began := time.Now()
 	for ctx.Err() == nil {
@@ -321,6 +333,60 @@
 	s.store.Trouble(fake.Troubles{})
 }
 
+// silence lets open connections to the store, to the servers or to both fall
+// silent for good, while new ones work.
+func (s *soak) silence() {
+	which := 1 + s.pick(3)
+	if which&1 != 0 {
+		for _, p := range s.procs {
+			p.store.silenceOpen()
+		}
+	}
+	if which&2 != 0 {
+		for _, l := range s.links {
+			l.silenceOpen()
+		}
+	}
+}
+
+// bornAgain lets a server crash and start again under its id.
+func (s *soak) bornAgain() {
+	i := s.pick(len(s.servers))
+	s.servers[i].StartAgain()
+	time.Sleep(s.between(50*time.Millisecond, time.Second))
+	s.list(i)
+}
+
+// foreignEntry stores an entry that another writer made, beside the servers'
+// or in the place of one, which writes its own again.
+func (s *soak) foreignEntry() {
+	i := s.pick(len(s.servers))
+	key := "servers/" + s.servers[i].ID
+	if s.pick(2) == 0 {
+		key = fmt.Sprint("servers/foreign-", s.pick(3))
+	}
+	whole := s.servers[i].Entry("plain", "zone-1", "ready")
+	fields := slices.Sorted(maps.Keys(whole))
+	field := fields[s.pick(len(fields))]
+	switch s.pick(4) {
+	case 0:
+		s.store.PutRaw(key, "no base64 !")
+	case 1:
+		s.store.Put(key, []any{field})
+	case 2:
+		delete(whole, field)
+		if field == "born" { // may be missing: then it would be a server's
+			whole["State"] = "unheard of"
+		}
+		s.store.Put(key, whole)
+	default:
+		whole[field] = map[string]any{"of": "another type"}
+		s.store.Put(key, whole)
+	}
+	time.Sleep(s.between(50*time.Millisecond, time.Second))
+	s.list(i)
+}
+
 func (s *soak) cloudTrouble() {
 	s.cloud.SetDown(true)
 	time.Sleep(s.between(100*time.Millisecond, time.Second))
@@ -343,6 +409,62 @@
 	}
 }
 
+// checkChange holds every node to a change that was made before it was in
+// touch again: the two spans do not add up.
+func (s *soak) checkChange() {
+	calm := time.Now()
+	time.Sleep(soakChange)
+	s.change()
+	time.Sleep(time.Until(calm.Add(contactTime + soakMargin)))
+	for _, p := range s.procs {
+		if !s.atVersion(p, time.Now().Add(soakMargin)) {
+			s.problem("%s has not version %d, %s after the faults", p.proc.name, s.version, contactTime+soakMargin)
+		}
+	}
+}
+
+// checkBudget counts what servers were sent beyond the first arrival of each
+// request, in every window of the budget.
+func (s *soak) checkBudget() {
+	var arrivals []fake.Arrival
+	for _, server := range s.servers {
+		arrivals = append(arrivals, server.Arrivals()...)
+	}
+	slices.SortFunc(arrivals, func(a, b fake.Arrival) int { return a.At.Compare(b.At) })
+	came := map[string]bool{}
+	var repeats []time.Time
+	for _, a := range arrivals {
+		if came[a.ID] {
+			repeats = append(repeats, a.At)
+		}
+		came[a.ID] = true
+	}
+	for i, end := range repeats {
+		from := end.Add(-budgetWindow)
+		count := 0
+		for _, at := range repeats[:i+1] {
+			if at.After(from) {
+				count++
+			}
+		}
+		asked := s.askedBetween(from.Add(-budgetWindow), from)
+		asked = max(asked, s.askedBetween(from, end), s.askedBetween(from.Add(-budgetWindow/2), end.Add(-budgetWindow/2)))
+		if allowed := budgetRatio*float64(asked) + budgetExtra; float64(count) > allowed {
+			s.problem("%d repeats in %s for %d requests", count, budgetWindow, asked)
+			return
+		}
+	}
+}
+
+func (s *soak) askedBetween(from, to time.Time) (count int) {
+	for _, a := range s.answers {
+		if !a.at.Before(from) && !a.at.After(to) {
+			count++
+		}
+	}
+	return count
+}
+
 func (s *soak) checkRecovery() {
 	for _, p := range s.procs {
 		if !s.waitReady(p, soakRestore) {
