Soak: a small retry budget, and silence with an unreadable entry as the last fault

Now the last fault is that all open connections fall silent, with an entry that cannot be read in the store and its history gone; the budget is small (0.02 and 20), so that what lies beyond the ratio shows, and all servers may reject for a while.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -33,6 +33,8 @@
 	soakSeedsCI = 1
 	soakRestore = 8 * time.Second        // in which all nodes serve again after the faults
 	soakChange  = 800 * time.Millisecond // after the faults, before a last change
+	soakRatio   = 0.02                   // of the retry budget: small, so that its parts beyond the ratio show
+	soakExtra   = 20.0
 	soakMargin  = 300 * time.Millisecond // for the machine that plays
 )
 
@@ -187,7 +189,7 @@
 	}
 	p.settings = fmt.Sprintf("NodeName=node-%d\nZone=zone-%d\nRegion=here\nSeedNodes=%s\nListenAddresses.Front=%s\nListenAddresses.Ready=%s\nListenAddresses.Control=%s\n"+
 		"PlatformSettings.Address=%s\nCloudApi.Address=%s\nCloudApi.Duties=usage_reporting\nBounds.GracePeriodS=3\nBounds.LeaseMs=1500\nBounds.UsageWindowS=1\nBounds.UsageLateS=10\n"+
-		"Bounds.RetryBudgetRatio=0.2\nBounds.ExtraRetries=50\nBounds.BudgetWindowS=10\n", i, i%soakDomains+1, strings.Join(seeds[:min(len(seeds), 3)], ","), p.front, p.ready, p.control, p.store.addr, s.cloud.Address())
+		"Bounds.RetryBudgetRatio=%g\nBounds.ExtraRetries=%g\nBounds.BudgetWindowS=10\n", i, i%soakDomains+1, strings.Join(seeds[:min(len(seeds), 3)], ","), p.front, p.ready, p.control, p.store.addr, s.cloud.Address(), soakRatio, soakExtra)
 	path := filepath.Join(s.dir, fmt.Sprintf("node-%d.conf", i))
 	s.is.NoErr(os.WriteFile(path, []byte(p.settings), 0o600))
 	p.proc = &proc{t: s.t, name: fmt.Sprint("node-", i), path: path, log: path + ".log"}
@@ -246,7 +248,7 @@
 	}{
 		{"kill", s.killNode}, {"stop", s.stopNode}, {"pause", s.pauseNode}, {"hangup", s.hangup},
 		{"store link", s.storeLink}, {"server link", s.serverLink}, {"server manner", s.serverManner},
-		{"silence", s.silence}, {"born again", s.bornAgain}, {"foreign entry", s.foreignEntry}, {"store", s.storeTrouble}, {"configure", s.change}, {"cloud", s.cloudTrouble},
+		{"all full", s.allFull}, {"silence", s.silence}, {"born again", s.bornAgain}, {"foreign entry", s.foreignEntry}, {"store", s.storeTrouble}, {"configure", s.change}, {"cloud", s.cloudTrouble},
 	}
 	began := time.Now()
 	for ctx.Err() == nil {
@@ -333,6 +335,17 @@
 	s.store.Trouble(fake.Troubles{})
 }
 
+// allFull lets every server reject what it is sent for a while.
+func (s *soak) allFull() {
+	for _, server := range s.servers {
+		server.Behave(fake.Full)
+	}
+	time.Sleep(s.between(200*time.Millisecond, 1500*time.Millisecond))
+	for _, server := range s.servers {
+		server.Behave(fake.Well)
+	}
+}
+
 // silence lets open connections to the store, to the servers or to both fall
 // silent for good, while new ones work.
 func (s *soak) silence() {
@@ -400,13 +413,22 @@
 	s.configure()
 }
 
-// calm ends all faults and starts what is not running.
+// calm ends all faults. The last of them is that all open connections fall
+// silent while an entry that cannot be read lies in the store, whose history is gone.
 func (s *soak) calm() {
 	s.store.Trouble(fake.Troubles{})
 	s.cloud.SetDown(false)
 	for _, server := range s.servers {
 		server.Behave(fake.Well)
 	}
+	s.store.PutRaw("servers/foreign-0", "no base64 !")
+	s.store.Forget()
+	for _, l := range s.links {
+		l.silenceOpen()
+	}
+	for _, p := range s.procs {
+		p.store.silenceOpen()
+	}
 }
 
 // checkChange holds every node to a change that was made before it was in
@@ -449,7 +471,7 @@
 		}
 		asked := s.askedBetween(from.Add(-budgetWindow), from)
 		asked = max(asked, s.askedBetween(from, end), s.askedBetween(from.Add(-budgetWindow/2), end.Add(-budgetWindow/2)))
-		if allowed := budgetRatio*float64(asked) + budgetExtra; float64(count) > allowed {
+		if allowed := soakRatio*float64(asked) + soakExtra; float64(count) > allowed {
 			s.problem("%d repeats in %s for %d requests", count, budgetWindow, asked)
 			return
 		}
