--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -73,6 +73,7 @@
 	buyer   *capacity.Buyer
 	scaler  *scaler
 	beliefs *beliefs
+	silence silence
 
 	began       time.Time
 	incarnation atomic.Int64
@@ -312,11 +313,14 @@
 	}
 }
 
-// connectionsSilent takes a kept connection to a peer that fell silent while
-// new ones work as a sign that those to the servers did as well.
+// connectionsSilent takes it, when kept connections to peers fell silent while
+// new ones work, that those to the servers did as well.
 func (n *Node) connectionsSilent(peer string) {
-	klog.InfoS("connections_silent", "peer", peer)
-	n.fleet.dropIdle()
+	general := n.silence.general(peer, n.roster.Count()-1, time.Now())
+	klog.InfoS("connections_silent", "peer", peer, "general", general)
+	if general {
+		n.fleet.dropIdle()
+	}
 }
 
 // readiness tells the platform whether clients may be sent here.
--- a/src/gateway/sparing.go
+++ b/src/gateway/sparing.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"time"
 
 	"github.com/crankridge/crankridge/src/ports"
@@ -17,8 +17,9 @@
 
 const fedLook = 500 * time.Millisecond
 
-// errFed says that changes come by another way for now.
-var errFed = errors.New("a hub tells of changes")
+// errFed says that changes come by another way for now. It is no loss of the
+// store: the view goes on at once, as after any watch that was cut on purpose.
+var errFed = fmt.Errorf("a hub tells of changes: %w", context.Canceled)
 
 // Watch waits while a hub tells of changes. Then it ends, so that the watch
 // begins from where the hub left off; and it ends when a hub tells again.
