Read no server's entry while it is being replaced

What callers could see: a request sent while its server's entry changed read the address and id without the fleet's lock; with another address, half of one and half of the other.

Cause: the listed entry was embedded in what requests hold.

Now id and address are fixed for one life of a server, another address begins another, and the entry is read under the lock alone.

--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -28,9 +28,12 @@
 	failureHalf     = 0.8 // weight that a server's failure rate keeps with each answer
 )
 
-// upstream is one life of a server with what this node has there.
+// upstream is one life of a server at one address, with what this node has
+// there. What changes is guarded by the fleet's lock.
 type upstream struct {
-	traffic.Upstream
+	id        string
+	address   string
+	entry     traffic.Upstream // as it is listed now
 	life      context.Context // ends when the server has started again: what it was sent is lost
 	end       context.CancelFunc
 	client    *http.Transport
@@ -74,18 +77,18 @@
 	for _, s := range list {
 		listed[s.ID] = true
 		known := f.upstreams[s.ID]
-		if known != nil && known.Born != s.Born {
+		if known != nil && (known.entry.Born != s.Born || known.address != s.Address) {
 			over = append(over, s.ID)
 			known.end()
 			known.client.CloseIdleConnections()
-			klog.InfoS("server_born_again", "server", s.ID, "born", s.Born, "before", known.Born, "requests", known.requests)
+			klog.InfoS("server_born_again", "server", s.ID, "born", s.Born, "before", known.entry.Born, "requests", known.requests)
 			known = nil
 		}
 		if known == nil {
-			known = f.newUpstream(s.Service)
+			known = f.newUpstream(s)
 			f.upstreams[s.ID] = known
 		}
-		known.Upstream = s
+		known.entry = s
 		known.leaving = known.leaving || s.Draining
 	}
 	for id, s := range f.upstreams {
@@ -100,17 +103,17 @@
 	return over
 }
 
-func (f *fleet) newUpstream(service string) *upstream {
-	idle := f.idle[service]
+func (f *fleet) newUpstream(s traffic.Upstream) *upstream {
+	idle := f.idle[s.Service]
 	life, end := context.WithCancel(context.Background())
-	return &upstream{life: life, end: end, client: newServerTransport(idle), idle: idle}
+	return &upstream{id: s.ID, address: s.Address, life: life, end: end, client: newServerTransport(idle), idle: idle}
 }
 
 func (f *fleet) sortByService() {
 	f.byService = map[string][]*upstream{}
 	for _, id := range slices.Sorted(maps.Keys(f.upstreams)) {
 		s := f.upstreams[id]
-		f.byService[s.Service] = append(f.byService[s.Service], s)
+		f.byService[s.entry.Service] = append(f.byService[s.entry.Service], s)
 	}
 }
 
@@ -124,7 +127,7 @@
 	idle := max(time.Duration(told)*time.Second-serverIdleEarly, time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.idle[s.Service] = idle
+	f.idle[s.entry.Service] = idle
 	if s.idle != idle {
 		// The old client's connections end by its own, shorter time.
 		s.client, s.idle = newServerTransport(idle), idle
@@ -162,7 +165,7 @@
 func (f *fleet) leave(s *upstream) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.upstreams[s.ID] != s || s.leaving {
+	if f.upstreams[s.id] != s || s.leaving {
 		return false
 	}
 	s.leaving = true
@@ -249,10 +252,10 @@
 	out := make([]candidate, 0, len(all))
 	var ejected []candidate
 	for _, s := range all {
-		if s.leaving || avoid[s.ID] {
+		if s.leaving || avoid[s.id] {
 			continue
 		}
-		c := candidate{upstream: s, id: s.ID, domain: s.FailureDomain, slots: s.Slots, failRate: s.failRate,
+		c := candidate{upstream: s, id: s.id, domain: s.entry.FailureDomain, slots: s.entry.Slots, failRate: s.failRate,
 			requests: s.requests + s.elsewhere.requests, unread: s.unread + s.elsewhere.unread}
 		if now.Before(s.ejected) {
 			ejected = append(ejected, c)
@@ -272,7 +275,7 @@
 	defer f.mu.Unlock()
 	var out []traffic.Upstream
 	for _, s := range f.byService[service] {
-		one := s.Upstream
+		one := s.entry
 		one.Draining = one.Draining || s.leaving
 		out = append(out, one)
 	}
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -61,18 +61,18 @@
 		}
 		done, err := f.try(ctx, s, unread)
 		if done {
-			f.log("answered", s.ID, err)
+			f.log("answered", s.id, err)
 			n.metrics.Answered(a.route.Name, strconv.Itoa(f.reply.status), time.Since(a.arrived))
 			return nil
 		}
-		f.log("failed", s.ID, err)
+		f.log("failed", s.id, err)
 		if ctx.Err() != nil {
 			return f.end(ctx, codeTimeout, 0)
 		}
 		if !f.mayTryAgain() {
 			return f.end(ctx, codeRefused, refusedWait)
 		}
-		f.avoid[s.ID] = true
+		f.avoid[s.id] = true
 	}
 }
 
@@ -194,7 +194,7 @@
 		if a.ahead < a.unshared()/aheadPart {
 			n.scaler.meter(a.service).Read(a.unshared(), now.Sub(began))
 		}
-		n.beliefs.read(s.ID, a.parts)
+		n.beliefs.read(s.id, a.parts)
 		n.metrics.FirstEvent(a.route.Name, now.Sub(a.arrived))
 	}
 	f.passed = now
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -301,7 +301,7 @@
 
 func (n *Node) serverLeft(s *upstream) {
 	if n.fleet.leave(s) {
-		klog.InfoS("server_left", "server", s.ID, "by", "answer")
+		klog.InfoS("server_left", "server", s.id, "by", "answer")
 	}
 }
 
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -106,7 +106,7 @@
 func (n *Node) outgoing(ctx context.Context, a *ask, s *upstream, lastEvent string) *http.Request {
 	in := a.request
 	target := *in.URL
-	target.Scheme, target.Host = "http", s.Address
+	target.Scheme, target.Host = "http", s.address
 	out := (&http.Request{
 		Method: in.Method, URL: &target, Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: in.Header.Clone(),
@@ -130,7 +130,7 @@
 	if a.customer != nil {
 		out.Header.Set(n.headers.Customer, a.customer.Name)
 	}
-	out.Header.Set(n.headers.ExpectInstance, s.ID)
+	out.Header.Set(n.headers.ExpectInstance, s.id)
 	left := max(time.Until(a.deadline), time.Millisecond)
 	out.Header.Set(n.headers.DeadlineMs, strconv.FormatInt(left.Milliseconds(), 10))
 	if lastEvent != "" {
