Give young processes what a whole share leaves unused

What is safe is what the life before, at most, left: a fifth of the ratio and two fifths of the part beyond it, the latter growing with age. Nine tenths of that are used.

--- a/src/gateway/fleet.go
+++ b/src/gateway/fleet.go
@@ -34,7 +34,7 @@
 	id        string
 	address   string
 	entry     traffic.Upstream // as it is listed now
-	life      context.Context // ends when the server has started again: what it was sent is lost
+	life      context.Context  // ends when the server has started again: what it was sent is lost
 	end       context.CancelFunc
 	client    *http.Transport
 	idle      time.Duration // after which its connections are given up
--- a/src/request/window.go
+++ b/src/request/window.go
@@ -9,7 +9,7 @@
 const (
 	ratioUsed   = 0.8
 	extraUsed   = 0.6
-	youngUsed   = 0.25 // of that, while the life of the process before may have used its share in the same window
+	youngUsed   = 0.9 // of what a whole share leaves unused, while the life before may have used all of that in the same window
 	windowSlots = 20
 )
 
@@ -104,10 +104,11 @@
 // While the process is younger than a window, the part beyond the ratio grows
 // with its age, so that several short lives add up to no more than a long one.
 func (b *WindowBudget) allowed(requests float64, nodes int, now time.Duration) float64 {
-	ratio := b.ratio * ratioUsed * requests
-	extra := b.extra * extraUsed / float64(nodes)
+	ratio := b.ratio * requests
+	extra := b.extra / float64(nodes)
 	if b.first || now >= b.window {
-		return ratio + extra
+		return ratioUsed*ratio + extraUsed*extra
 	}
-	return youngUsed * (ratio + extra*now.Seconds()/b.window.Seconds())
+	age := now.Seconds() / b.window.Seconds()
+	return youngUsed * ((1-ratioUsed)*ratio + (1-extraUsed)*extra*age)
 }
