--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -167,7 +167,7 @@
 	go process.Every(work, stepEvery, n.spread)
 	go n.backstopLoop(work)
 	go n.deafLoop(work)
-	registering, unregister := context.WithCancel(work)
+	registering, endRegistering := context.WithCancel(work)
 	registered := make(chan struct{})
 	go func() {
 		defer close(registered)
@@ -178,7 +178,7 @@
 	}
 	<-ctx.Done()
 	n.stop()
-	unregister()
+	endRegistering()
 	<-registered
 	n.unregister()
 	return nil
