--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -254,6 +254,6 @@
 	if err == nil && f.sends == 1 && !klog.V(1).Enabled() {
 		return
 	}
-	klog.InfoS("request", "id", f.req.id, "what", what, "server", server, "route", f.req.route.Name, "kind", f.req.route.Kind,
+	klog.InfoS("request", "id", f.req.id, "what", what, "server", server, "route", f.req.route.Name, "kind", f.req.route.Kind, "digest", f.req.requestDigest(),
 		"sends", f.sends, "runs", f.runs, "events", f.response.events, "after_ms", time.Since(f.req.arrived).Milliseconds(), "err", err)
 }
