--- /dev/null
+++ b/test/quarantine_test.go
@@ -0,0 +1,143 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crankridge/crankridge/platform/fake"
+)
+
+const (
+	crashBody       = "crashes every server"
+	crashDowntime   = 300 * time.Millisecond
+	crashInterval   = 150 * time.Millisecond // between two attempts of the request
+	contactTimeout  = 3 * time.Second        // from the third crash until all nodes must know of it
+	retriesAfter    = 3                      // further sends allowed after that
+	crashTestLength = 8 * time.Second
+)
+
+// crashBed is a gateway testbed whose servers all crash on one request.
+type crashBed struct {
+	*gatewayTestbed
+	servers []*fake.Server
+}
+
+func newCrashBed(t *testing.T, servers int) *crashBed {
+	b := &crashBed{gatewayTestbed: newGatewayTestbed(t)}
+	for i := range servers {
+		id := fmt.Sprintf("i-%d", i+1)
+		s := b.startServer(id)
+		s.CrashOn(crashBody, crashDowntime, func() { b.store.Put("servers/"+id, s.Entry("plain", "zone-1", "ready")) })
+		b.servers = append(b.servers, s)
+	}
+	return b
+}
+
+func (b *crashBed) crashes() int {
+	total := 0
+	for _, s := range b.servers {
+		total += s.Crashes()
+	}
+	return total
+}
+
+// sendCrashing sends the request that crashes servers to the nodes in turn, and returns
+// how many sends reached servers later than contactTimeout after the third crash.
+func (b *crashBed) sendCrashing(path string, nodes []*gatewayNode, length time.Duration) (late int) {
+	start := time.Now()
+	var thirdCrash time.Time
+	allowed := 0
+	for i := 0; time.Since(start) < length; i++ {
+		node := nodes[i%len(nodes)]
+		node.send(gatewayRequest{method: http.MethodPost, path: path, id: fmt.Sprint("bad-", i), body: crashBody})
+		if thirdCrash.IsZero() && b.crashes() >= 3 {
+			thirdCrash = time.Now()
+		}
+		if !thirdCrash.IsZero() && allowed == 0 && time.Since(thirdCrash) > contactTimeout {
+			allowed = b.crashes()
+		}
+		time.Sleep(crashInterval)
+	}
+	return b.crashes() - allowed
+}
+
+// Guards against BUDGET of issue 25: a request under which three servers had crashed was
+// sent again with each attempt of its client, at any node.
+func TestRequestThatCrashesServersIsNotSentAgain(t *testing.T) {
+	for _, route := range []string{"/once/x", "/repeat/x", "/resume/x"} {
+		t.Run(route[1:len(route)-2], func(t *testing.T) {
+			is := is.New(t)
+			b := newCrashBed(t, 8)
+			var nodes []*gatewayNode
+			for range 4 {
+				nodes = append(nodes, b.startNode(b.store.Address(), nodeAddresses(nodes)...))
+			}
+			for i, n := range nodes {
+				b.waitServing(n, fmt.Sprint("p", i))
+			}
+			late := b.sendCrashing(route, nodes, crashTestLength)
+			t.Logf("%d crashes, %d of them late", b.crashes(), late)
+			is.True(late <= retriesAfter)
+			is.True(b.crashes() <= 3+retriesAfter)
+		})
+	}
+}
+
+// nodeAddresses returns the addresses at which other nodes reach the given ones.
+func nodeAddresses(nodes []*gatewayNode) []string {
+	var out []string
+	for _, n := range nodes {
+		out = append(out, n.settings.Listen.Peers)
+	}
+	return out
+}
+
+// Guards against sound requests being condemned for running beside one that crashes
+// servers: they must be served while it is sent and afterwards.
+func TestRequestsBesideOneThatCrashesServersAreServed(t *testing.T) {
+	is := is.New(t)
+	b := newCrashBed(t, 8)
+	var nodes []*gatewayNode
+	for range 3 {
+		nodes = append(nodes, b.startNode(b.store.Address(), nodeAddresses(nodes)...))
+	}
+	for i, n := range nodes {
+		b.waitServing(n, fmt.Sprint("p", i))
+	}
+	stop := make(chan struct{})
+	var sent, quarantined atomic.Int64
+	var group sync.WaitGroup
+	for worker := range 6 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("good-%d-%d", worker, i)
+				// The same few bodies again and again, as popular requests have.
+				got := nodes[i%len(nodes)].send(gatewayRequest{method: http.MethodPost, path: "/resume/x", id: id, body: fmt.Sprint("popular ", i%3),
+					header: map[string]string{"Prompt-Prefix": "aa:10,bb:5", "Token-Usage": "15,10"}})
+				sent.Add(1)
+				if got.status == http.StatusServiceUnavailable && got.body == "crashes_servers\n" {
+					quarantined.Add(1)
+				}
+			}
+		}()
+	}
+	b.sendCrashing("/resume/x", nodes, 4*time.Second)
+	close(stop)
+	group.Wait()
+	t.Logf("%d sound requests, %d quarantined, %d crashes", sent.Load(), quarantined.Load(), b.crashes())
+	is.Equal(quarantined.Load(), int64(0))
+	is.True(sent.Load() > 100)
+}
