--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -52,6 +52,7 @@
 	dependencies     map[string]*telemetry.Dependency // by address
 	avoidedUntil     map[string]time.Time             // nodes not to be chosen as hubs, and until when
 	trigger          chan struct{}
+	urgent           chan struct{}
 	summaryRequested time.Time // when another node last requested a summary
 	round            int
 }
@@ -66,6 +67,7 @@
 	n.dependencies = map[string]*telemetry.Dependency{}
 	n.avoidedUntil = map[string]time.Time{}
 	n.trigger = make(chan struct{}, 1)
+	n.urgent = make(chan struct{}, 1)
 }
 
 // Run exchanges with peers until ctx is canceled.
@@ -89,8 +91,8 @@
 	}
 }
 
-// waitForRound waits until the next round. If triggerable is set, TriggerExchange
-// can shorten the wait.
+// waitForRound waits until the next round. TriggerUrgentExchange can shorten the wait
+// and, if triggerable is set, TriggerExchange.
 func (n *Node) waitForRound(ctx context.Context, wait time.Duration, triggerable bool) {
 	start := time.Now()
 	timer := time.NewTimer(wait)
@@ -101,12 +103,15 @@
 	}
 	select {
 	case <-ctx.Done():
+		return
 	case <-timer.C:
+		return
 	case <-trigger:
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Until(start.Add(minRoundInterval))):
-		}
+	case <-n.urgent:
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(start.Add(minRoundInterval))):
 	}
 }
 
@@ -118,6 +123,14 @@
 	}
 }
 
+// TriggerUrgentExchange starts the next round early.
+func (n *Node) TriggerUrgentExchange() {
+	select {
+	case n.urgent <- struct{}{}:
+	default: // a trigger is already pending
+	}
+}
+
 // UsesHubs reports whether the system is too large for every node to exchange
 // with every other.
 func (n *Node) UsesHubs() bool { return n.Entries != nil && len(n.Entries()) > maxFlatNodes }
--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -16,6 +16,7 @@
 	maxHeavyServers    = 64                    // servers listed individually
 	maxClientAddresses = 32                    // in one summary
 	clientAddressTTL   = 3 * time.Second       // age up to which an address from a summary is used
+	maxSuspects        = 16                    // in one summary
 )
 
 // aggregates are totals over the records of all members, shared by summaries.
@@ -27,6 +28,7 @@
 	// Means over the servers that are not in heavy.
 	meanRequests, meanPendingPrefill float32
 	clientAddresses                  []string
+	suspects                         []*Suspect // those with the most crashes
 }
 
 // serverLoad is the load that all nodes together place on a server.
@@ -108,6 +110,7 @@
 		out.Admitted = append(out.Admitted, &Tally{Name: customer, Total: total - admitted[customer]})
 	}
 	out.Heavy = subtractOwn(m.aggregates.heavy, own.GetLoads())
+	out.Suspects = m.aggregates.suspects
 	out.MeanRequests, out.MeanUnread = m.aggregates.meanRequests, m.aggregates.meanPendingPrefill
 	for range min(maxClientAddresses, len(m.aggregates.clientAddresses)) {
 		out.Callers = append(out.Callers, m.aggregates.clientAddresses[rand.IntN(len(m.aggregates.clientAddresses))])
@@ -132,6 +135,7 @@
 			continue
 		}
 		out.records[name] = r
+		out.suspects = append(out.suspects, r.Suspects...)
 		if age <= aliveTimeout && r.Ready && !r.Leaving {
 			out.clientAddresses = append(out.clientAddresses, r.Callers)
 		}
@@ -146,6 +150,8 @@
 		}
 	}
 	out.heavy, out.meanRequests, out.meanPendingPrefill = heaviest(loads)
+	slices.SortFunc(out.suspects, func(a, b *Suspect) int { return cmp.Compare(len(b.Crashes), len(a.Crashes)) })
+	out.suspects = out.suspects[:min(len(out.suspects), maxSuspects)]
 	return out
 }
 
--- a/src/ctl/trace.go
+++ b/src/ctl/trace.go
@@ -134,6 +134,8 @@
 		return "may have run: it was sent but its outcome is unknown, so it was not retried (" + failure + ")"
 	case last.event == "refused" && last.fields["code"] == "time_limit":
 		return "the time limit of the route or the deadline of the request expired (" + failure + ")"
+	case last.event == "refused" && last.fields["code"] == "crashes_servers":
+		return "refused, not run: earlier attempts of the same request crashed " + last.fields["crashes"] + " servers (" + last.fields["servers"] + "); search the logs for \"suspected\" lines with its digest " + last.fields["digest"]
 	case last.event == "refused":
 		return "refused with " + last.fields["status"] + ", " + last.fields["code"] + " (" + failure + ")"
 	case last.fields["what"] == "broken_off" && intField(last, "events") > 0:
--- a/src/ctl/trace_test.go
+++ b/src/ctl/trace_test.go
@@ -69,6 +69,16 @@
 	is.True(strings.Contains(strings.Join(trace.nearby, "\n"), "its node restarted"))
 }
 
+func TestTraceOfQuarantinedRequest(t *testing.T) {
+	is := is.New(t)
+	trace := traceOf(t, "r1", map[string][]string{"node-1": {
+		formatLine(2, "refused", `id="r1" status=503 code="crashes_servers" wait_ms=0 version=7 digest="00ff" crashes=3 servers="i-1,i-2,i-3" trials=0`),
+	}})
+	is.True(strings.Contains(trace.conclusion, "not run"))
+	is.True(strings.Contains(trace.conclusion, "crashed 3 servers (i-1,i-2,i-3)"))
+	is.True(strings.Contains(trace.conclusion, "digest 00ff"))
+}
+
 func TestTraceOfUnloggedRequest(t *testing.T) {
 	is := is.New(t)
 	trace := traceOf(t, "r1", map[string][]string{"node-1": {"not a klog line", formatLine(1, "refused", `id="r10" status=429 code="quota"`)}})
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/crankridge/crankridge/src/quarantine"
 )
 
 // Weights of the load estimate.
@@ -25,12 +27,40 @@
 	requests       int
 	pendingPrefill int64
 	failureRate    float64
+	suspects       int // requests in progress that are suspected of having crashed servers
+	isolated       int // of these, those that must run apart from other requests
+	version        string
 }
 
 func (c candidate) load() float64 {
 	return float64(c.requests) + failureWeight*c.failureRate
 }
 
+// keepApart returns the candidates for a request of the given standing: none that
+// runs a request which must run apart and, for a suspect, none that runs another
+// suspect. A rule that would leave no candidate is not applied.
+func keepApart(list []candidate, standing quarantine.Standing) []candidate {
+	list = preferred(list, func(c candidate) bool { return c.isolated == 0 })
+	if standing.Crashes > 0 {
+		list = preferred(list, func(c candidate) bool { return c.suspects == 0 })
+	}
+	return list
+}
+
+// preferred returns the candidates that ok accepts, or all if it accepts none.
+func preferred(list []candidate, ok func(candidate) bool) []candidate {
+	var out []candidate
+	for _, c := range list {
+		if ok(c) {
+			out = append(out, c)
+		}
+	}
+	if len(out) == 0 {
+		return list
+	}
+	return out
+}
+
 // promptPart is a segment of a prompt. The last segment is specific to the
 // request or its session; the others may be shared.
 type promptPart struct {
--- /dev/null
+++ b/src/gateway/crash_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/crankridge/crankridge/src/quarantine"
+	"github.com/crankridge/crankridge/src/traffic"
+)
+
+// Guards against taking a planned end, a partition or a broken response for a crash.
+func TestOnlyCrashesAreTakenForCrashes(t *testing.T) {
+	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	accept := func(context.Context, string, string) (net.Conn, error) {
+		conn, other := net.Pipe()
+		return conn, other.Close()
+	}
+	entry := traffic.Upstream{ID: "i-1", Service: "s", Address: "10.0.0.1:1", StartedMS: 1}
+	restarted, successor, draining := entry, entry, entry
+	restarted.StartedMS = 2
+	successor.ID, successor.StartedMS = "i-2", 2
+	draining.Draining = true
+	for name, c := range map[string]struct {
+		dial    func(context.Context, string, string) (net.Conn, error)
+		later   []traffic.Upstream // server list after the end of the response
+		crashed bool
+	}{
+		"process gone":             {refuse, []traffic.Upstream{entry}, true},
+		"still running":            {accept, []traffic.Upstream{entry}, false},
+		"restarted":                {accept, []traffic.Upstream{restarted}, true},
+		"successor at the address": {accept, []traffic.Upstream{successor}, true},
+		"drained":                  {refuse, []traffic.Upstream{draining}, false},
+		"left without notice":      {refuse, nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			pool := newUpstreamPool(time.Now)
+			pool.update([]traffic.Upstream{entry})
+			s := pool.byService["s"][0]
+			pool.update(c.later)
+			d := newCrashDetector(pool)
+			d.dial = c.dial
+			check := d.check(s)
+			is.Equal(d.check(s), check) // one check for all requests that ended there
+			<-check.done
+			is.Equal(check.crashed, c.crashed)
+		})
+	}
+}
+
+// Guards against a sound request being charged with the crashes of suspects beside it.
+func TestSuspectsAreKeptApart(t *testing.T) {
+	is := is.New(t)
+	pool := newUpstreamPool(time.Now)
+	var list []traffic.Upstream
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		list = append(list, traffic.Upstream{ID: id, Service: "s", Address: "10.0.0.1:" + id, StartedMS: 1})
+	}
+	pool.update(list)
+	ids := func(standing quarantine.Standing) (out []string) {
+		for _, c := range keepApart(pool.candidates("s", nil), standing) {
+			out = append(out, c.id)
+		}
+		return out
+	}
+	suspect, isolated := quarantine.Standing{Crashes: 1}, quarantine.Standing{Crashes: 2}
+	pool.beginSuspect(pool.byID["i-1"], suspect)
+	pool.beginSuspect(pool.byID["i-2"], isolated)
+	is.Equal(ids(quarantine.Standing{}), []string{"i-1", "i-3"})
+	is.Equal(ids(suspect), []string{"i-3"})
+	pool.beginSuspect(pool.byID["i-3"], isolated)
+	is.Equal(ids(suspect), []string{"i-1"}) // no server is free of suspects, but one of isolated requests
+	pool.endSuspect(pool.byID["i-2"], isolated)
+	is.Equal(ids(suspect), []string{"i-2"})
+}
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -33,8 +33,11 @@
 	reached         int // sends that reached a server, or may have
 	runs            int // sends that a server executed, or may have
 	usageCounted    bool
-	pendingPrefill  int64 // tokens counted in the current server's backlog
-	gotFirstEvent   bool  // from the current server
+	pendingPrefill  int64     // tokens counted in the current server's backlog
+	executed        bool      // the current server executes the request, or may
+	sentAt          time.Time // to the current server
+	progressAt      time.Time
+	gotFirstEvent   bool // from the current server
 	lastEventAt     time.Time
 	lastFailure     *http.Response // 5xx response of a server, relayed if no other server succeeds
 	lastFailureBody []byte
@@ -52,14 +55,23 @@
 		n.scaler.meter(req.service).RecordPrompt(ownTokens, req.arrived)
 	}
 	for {
-		s, uncached, ok := n.chooseServer(req, f.excluded)
+		standing := n.standing(req)
+		if standing.Quarantined && req.trialVersion == "" {
+			return f.finish(ctx, codeCrashesServers, 0)
+		}
+		s, uncached, ok := n.chooseServer(req, standing, f.excluded)
 		if !ok {
 			return f.finish(ctx, codeNoServer, noServerRetryAfter)
 		}
 		if f.reached > 0 && !f.spendRetryBudget() {
 			return f.finish(ctx, codeServersFull, serversFullRetryAfter)
 		}
+		n.upstreams.beginSuspect(s, standing)
 		done, err := f.try(ctx, s, uncached)
+		n.upstreams.endSuspect(s, standing)
+		if f.mayHaveCrashed(ctx, err) {
+			f.checkCrash(ctx, s)
+		}
 		if done {
 			f.log("answered", s.id, err)
 			n.metrics.Answered(req.route.Name, strconv.Itoa(f.response.status), time.Since(req.arrived))
@@ -90,7 +102,7 @@
 // mayResend reports whether the request may be sent to another server.
 func (f *forwarder) mayResend() bool {
 	switch {
-	case f.sends >= maxSends:
+	case f.sends >= maxSends, f.req.trialVersion != "" && f.reached > 0:
 		return false
 	case f.runs == 0:
 		return true
@@ -108,12 +120,13 @@
 		n.metrics.AddedLatency(req.route.Name, time.Since(req.arrived))
 	}
 	f.sends++
-	f.pendingPrefill, f.gotFirstEvent = uncached, false
+	f.pendingPrefill, f.gotFirstEvent, f.executed = uncached, false, false
 	n.upstreams.beginRequest(s, f.pendingPrefill)
 	defer n.upstreams.endRequest(s)
 	defer f.prefillDone(s)
 	lastEventID := f.response.lastEventID
 	sentAt := time.Now()
+	f.sentAt, f.progressAt = sentAt, sentAt
 	result := n.send(ctx, req, s, lastEventID)
 	n.metrics.Sent(req.service, result.outcome.String())
 	defer result.cancel()
@@ -133,6 +146,7 @@
 		return false, errServerRefused
 	case outcomeUnknown:
 		f.runs++
+		f.executed = true
 		f.countUsage()
 		if ctx.Err() == nil {
 			n.upstreams.recordFailure(s, false)
@@ -140,6 +154,8 @@
 		return false, result.err
 	}
 	f.runs++
+	f.executed = true
+	f.progressAt = time.Now()
 	defer func() { _ = result.response.Body.Close() }()
 	if isEventStream(result.response) {
 		err = f.response.relayStream(result.response, n.stopping(), func() { f.onEvents(s, sentAt) })
@@ -157,6 +173,9 @@
 		return false, err
 	}
 	n.upstreams.recordSuccess(s)
+	if provesCompletion(result.response) {
+		n.clearSuspicion(req)
+	}
 	return true, nil
 }
 
@@ -165,6 +184,14 @@
 	errServerFailed  = errors.New("server responded with a 5xx status")
 )
 
+// provesCompletion reports whether a response that was read to its end shows that the
+// server ran the request to its end. A response without a length ends in the same way
+// if the server crashes.
+func provesCompletion(resp *http.Response) bool {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return framed && resp.StatusCode < http.StatusInternalServerError
+}
+
 // relayResponse relays a response that is not an event stream. A 5xx response
 // is held back as long as the request may be sent to another server.
 func (f *forwarder) relayResponse(resp *http.Response, s *upstream) (done bool, err error) {
@@ -198,7 +225,7 @@
 		n.cacheTracker.record(s.id, req.promptParts)
 		n.metrics.FirstEvent(req.route.Name, now.Sub(req.arrived))
 	}
-	f.lastEventAt = now
+	f.lastEventAt, f.progressAt = now, now
 	f.prefillDone(s)
 	f.countUsage()
 }
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -10,6 +10,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"github.com/crankridge/crankridge/src/cluster"
 	"github.com/crankridge/crankridge/src/duty"
 	"github.com/crankridge/crankridge/src/process"
+	"github.com/crankridge/crankridge/src/quarantine"
 	"github.com/crankridge/crankridge/src/request"
 	"github.com/crankridge/crankridge/src/telemetry"
 	"github.com/crankridge/crankridge/src/traffic"
@@ -74,13 +76,16 @@
 	scaler        *scaler               // demand data from which the orders are computed
 	cacheTracker  *cacheTracker
 	stalledConns  stalledConnDetector
+	crashes       *crashDetector
+	quarantine    *quarantine.List // requests suspected of crashing servers
 
 	startedAt      time.Time
 	incarnation    atomic.Int64
 	sequence       atomic.Int64
 	openRequests   atomic.Int64
-	stopAt         atomic.Int64 // Unix nanoseconds of the stop signal; 0 before it
-	configRevision int64        // revision of the last configuration seen
+	stopAt         atomic.Int64                        // Unix nanoseconds of the stop signal; 0 before it
+	storedSuspects atomic.Pointer[[]quarantine.Stored] // as in the view
+	configRevision int64                               // revision of the last configuration seen
 	rngMu          sync.Mutex
 	rng            *rand.Rand
 	httpServers    []*http.Server
@@ -102,8 +107,9 @@
 		initial: settings, platform: platform, store: platform.Store(), headers: platform.Headers(), view: view.New(), upstreams: newUpstreamPool(time.Now),
 		members: cluster.NewMembers(settings.Node, time.Now), roster: cluster.NewRoster(settings.Node, time.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(settings.Quota)),
 		retryBudget: request.NewWindowBudget(settings.Retries.Ratio, settings.Retries.Extra, settings.Retries.Window, settings.FirstStart),
-		ledger:      duty.NewLedger(), metrics: metrics, scaler: newScaler(), cacheTracker: newCacheTracker(time.Now), startedAt: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		ledger:      duty.NewLedger(), metrics: metrics, scaler: newScaler(), quarantine: quarantine.NewList(time.Now), cacheTracker: newCacheTracker(time.Now), startedAt: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	n.crashes = newCrashDetector(n.upstreams)
 	n.usage = newUsageCounter(settings.Duties.UsageWindow, n.clusterTime)
 	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.localRecord, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAllRecords: n.holdsLease, OnStalledConn: n.onStalledConn, RaiseIncarnation: n.raiseIncarnation}
 	n.incarnation.Store(now.UnixMicro())
@@ -166,6 +172,7 @@
 	go n.applyLoop(background)
 	go process.Every(background, stepInterval, n.applyPeerState)
 	go n.storeCheckLoop(background)
+	go process.Every(background, stepInterval, func() { n.storeSuspects(background) })
 	go n.stalledWatchLoop(background)
 	registering, stopRegistering := context.WithCancel(background)
 	registered := make(chan struct{})
@@ -247,6 +254,9 @@
 	if refused != nil {
 		return refused
 	}
+	if refused := n.checkQuarantine(req); refused != nil {
+		return refused
+	}
 	if c := req.customer; c != nil && c.Rate > 0 {
 		if ok, wait := n.quota.Take(c.Name, req.quotaCost(), req.priority, c.Rate, c.Burst, time.Now()); !ok {
 			logValues := []any{"customer", c.Name, "cost", req.quotaCost(), "rate", c.Rate, "priority", req.priority, "members", n.roster.Count()}
@@ -287,11 +297,14 @@
 // chooseServer picks the server for the next send. It returns the server, how many
 // tokens of the prompt it will have to prefill, and false if there is no server to
 // send to. On sticky routes it also sets req.queuedTokens.
-func (n *Node) chooseServer(req *clientRequest, excluded map[string]bool) (*upstream, int64, bool) {
-	list := n.upstreams.candidates(req.service, excluded)
+func (n *Node) chooseServer(req *clientRequest, standing quarantine.Standing, excluded map[string]bool) (*upstream, int64, bool) {
+	list := keepApart(n.upstreams.candidates(req.service, excluded), standing)
+	if req.trialVersion != "" {
+		list = slices.DeleteFunc(list, func(c candidate) bool { return c.version != req.trialVersion })
+	}
 	n.rngMu.Lock()
 	defer n.rngMu.Unlock()
-	if req.route.Sticky {
+	if req.route.Sticky && !standing.Isolated() {
 		c, uncached, ok := chooseEngine(list, prompt{req.promptParts, req.tokensIn, n.cacheTracker.mayHold}, n.initial.FailureDomain, n.rng)
 		req.queuedTokens = c.pendingPrefill
 		return c.upstream, uncached, ok
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -40,6 +40,7 @@
 	for id, load := range n.upstreams.localLoads() {
 		r.Loads = append(r.Loads, &cluster.Load{Server: id, Requests: int32(load.requests), UnreadTokens: load.pendingPrefill})
 	}
+	r.Suspects = n.reportSuspects()
 	r.Demands = n.scaler.demands(time.Now())
 	return r
 }
@@ -54,6 +55,9 @@
 func (n *Node) applyPeerState() {
 	for _, m := range n.members.All() {
 		n.roster.Heard(m.Record.Node, m.Heard)
+		if m.Record.Node != n.initial.Node {
+			n.mergeSuspects(m.Record.Suspects)
+		}
 	}
 	if summary, hub, at, ok := n.members.Summary(); ok && !n.peers.IsHub() {
 		n.applySummary(summary, hub, at)
@@ -79,6 +83,7 @@
 }
 
 func (n *Node) applySummary(s *cluster.Summary, hub string, at time.Time) {
+	n.mergeSuspects(s.Suspects)
 	n.quota.SetAggregate(hub, max(int(s.Nodes), n.roster.Count())-1)
 	n.quota.MergeTotals(hub, summaryIncarnation, admittedTotals(s.Admitted), at)
 	remote := make(map[string]serverLoad, len(s.Heavy))
@@ -125,6 +130,7 @@
 	}
 	n.applyServers()
 	n.applyEntries()
+	n.applySuspects()
 }
 
 // decodedServer caches the decoded entry of a server at one revision.
--- a/src/gateway/upstreams.go
+++ b/src/gateway/upstreams.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/crankridge/crankridge/src/conn"
+	"github.com/crankridge/crankridge/src/quarantine"
 	"github.com/crankridge/crankridge/src/traffic"
 )
 
@@ -33,6 +34,9 @@
 type upstream struct {
 	id                  string
 	address             string
+	service             string
+	version             string           // of its software
+	startedMS           int64            // Unix ms
 	entry               traffic.Upstream // current entry in the store
 	ctx                 context.Context  // canceled when the server restarts, which loses its requests
 	cancel              context.CancelFunc
@@ -40,6 +44,8 @@
 	idleTimeout         time.Duration
 	draining            bool
 	requests            int   // in progress from this node
+	suspects            int   // of these, suspected of having crashed a server
+	isolated            int   // of the suspects, those that must run apart from other requests
 	pendingPrefill      int64 // prompt tokens of this node's requests that have no first event yet
 	consecutiveFailures int
 	failureRate         float64
@@ -105,7 +111,7 @@
 func (p *upstreamPool) newUpstream(s traffic.Upstream) *upstream {
 	idleTimeout := p.idleTimeouts[s.Service]
 	ctx, cancel := context.WithCancel(context.Background())
-	return &upstream{id: s.ID, address: s.Address, ctx: ctx, cancel: cancel, transport: newTransport(idleTimeout), idleTimeout: idleTimeout}
+	return &upstream{id: s.ID, address: s.Address, service: s.Service, version: s.Version, startedMS: s.StartedMS, ctx: ctx, cancel: cancel, transport: newTransport(idleTimeout), idleTimeout: idleTimeout}
 }
 
 func (p *upstreamPool) sortByService() {
@@ -191,6 +197,41 @@
 	p.mu.Unlock()
 }
 
+// beginSuspect counts a request in progress that is suspected of having crashed servers.
+func (p *upstreamPool) beginSuspect(s *upstream, standing quarantine.Standing) {
+	p.addSuspect(s, standing, 1)
+}
+
+// endSuspect reverts beginSuspect.
+func (p *upstreamPool) endSuspect(s *upstream, standing quarantine.Standing) {
+	p.addSuspect(s, standing, -1)
+}
+
+func (p *upstreamPool) addSuspect(s *upstream, standing quarantine.Standing, count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if standing.Crashes > 0 {
+		s.suspects += count
+	}
+	if standing.Isolated() {
+		s.isolated += count
+	}
+}
+
+// versions returns the software versions of a service's servers, sorted.
+func (p *upstreamPool) versions(service string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, s := range p.byService[service] {
+		if !s.draining && !slices.Contains(out, s.version) {
+			out = append(out, s.version)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // recordSuccess resets the ejection state after a complete response.
 func (p *upstreamPool) recordSuccess(s *upstream) {
 	p.mu.Lock()
@@ -254,7 +295,8 @@
 			continue
 		}
 		c := candidate{upstream: s, id: s.id, domain: s.entry.FailureDomain, slots: s.entry.Slots, failureRate: s.failureRate,
-			requests: s.requests + s.remoteLoad.requests, pendingPrefill: s.pendingPrefill + s.remoteLoad.pendingPrefill}
+			requests: s.requests + s.remoteLoad.requests, pendingPrefill: s.pendingPrefill + s.remoteLoad.pendingPrefill,
+			suspects: s.suspects, isolated: s.isolated, version: s.version}
 		if now.Before(s.ejectedUntil) {
 			ejected = append(ejected, c)
 			continue
--- /dev/null
+++ b/src/quarantine/list.go
@@ -0,0 +1,178 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// List holds the suspected requests that a node knows of.
+type List struct {
+	now       func() time.Time // steady time of this process
+	active    atomic.Bool
+	mu        sync.Mutex
+	suspects  map[Digest]*suspect
+	standings map[Digest]Standing // nil if a judgment is due
+}
+
+// suspect is a request with charges, and what became of its state.
+type suspect struct {
+	state     State
+	own       bool      // this node saw one of the crashes
+	changedAt time.Time // steady time
+	revision  int64     // in the store; 0 if not stored
+	unstored  bool      // the store lacks part of the state
+}
+
+// NewList returns an empty list.
+func NewList(now func() time.Time) *List {
+	return &List{now: now, suspects: map[Digest]*suspect{}}
+}
+
+// Active reports whether any request is suspected. If not, no digest needs to be
+// computed.
+func (l *List) Active() bool { return l.active.Load() }
+
+// Charge records a crash that this node saw.
+func (l *List) Charge(d Digest, c Charge) Standing {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.merge(State{Digest: d, Charges: []Charge{c}}, true)
+	return l.standing(d)
+}
+
+// Clear records that the request completed at the given agreed time. It reports
+// whether the request was suspected.
+func (l *List) Clear(d Digest, at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[d]
+	if s == nil || len(s.state.open()) == 0 {
+		return false
+	}
+	l.merge(State{Digest: d, ClearedThrough: at}, true)
+	return true
+}
+
+// Standing returns how the request is to be treated.
+func (l *List) Standing(d Digest) Standing {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.standing(d)
+}
+
+func (l *List) standing(d Digest) Standing {
+	if l.suspects[d] == nil {
+		return Standing{}
+	}
+	if l.standings == nil {
+		l.standings = judge(l.suspects)
+	}
+	return l.standings[d]
+}
+
+// Get returns what is known of a request.
+func (l *List) Get(d Digest) State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.suspects[d]; s != nil {
+		return s.state
+	}
+	return State{Digest: d}
+}
+
+// Merge adds what another node reports.
+func (l *List) Merge(states []State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range states {
+		l.merge(s, false)
+	}
+}
+
+// merge adds a state. own means that this node made the observation.
+func (l *List) merge(state State, own bool) *suspect {
+	s := l.suspects[state.Digest]
+	if s == nil {
+		s = &suspect{state: State{Digest: state.Digest}}
+	}
+	if !s.state.merge(state) {
+		return s
+	}
+	s.own = s.own || own
+	s.unstored = true
+	s.changedAt = l.now()
+	l.suspects[state.Digest] = s
+	l.standings = nil
+	if len(l.suspects) > maxSuspects {
+		l.evict()
+	}
+	l.active.Store(true)
+	return s
+}
+
+// evict drops one request: of the customer with the most, the one with the fewest
+// charges, then the oldest. So no customer can push out another's.
+func (l *List) evict() {
+	counts := map[[customerBytes]byte]int{}
+	for d := range l.suspects {
+		counts[d.customer()]++
+	}
+	var victim *suspect
+	for d, s := range l.suspects {
+		if victim == nil || cmp.Or(
+			cmp.Compare(counts[victim.state.Digest.customer()], counts[d.customer()]),
+			cmp.Compare(len(s.state.open()), len(victim.state.open())),
+			s.state.lastCharge().Compare(victim.state.lastCharge())) < 0 {
+			victim = s
+		}
+	}
+	l.forget(victim.state.Digest)
+}
+
+func (l *List) forget(d Digest) {
+	delete(l.suspects, d)
+	l.standings = nil
+	l.active.Store(len(l.suspects) > 0)
+}
+
+// forgetCleared drops the requests that completed some time ago, which all nodes have
+// heard of by now.
+func (l *List) forgetCleared() {
+	for d, s := range l.suspects {
+		if s.revision == 0 && len(s.state.open()) == 0 && l.now().Sub(s.changedAt) > clearedPeriod {
+			l.forget(d)
+		}
+	}
+}
+
+// Report returns what to tell other nodes, at most limit states: recent observations
+// of this node, and all that belongs in the store but isn't known to be there. Those
+// with the most charges come first.
+func (l *List) Report(limit int) []State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forgetCleared()
+	var list []*suspect
+	for _, s := range l.suspects {
+		if s.own && l.now().Sub(s.changedAt) < reportPeriod || s.unstored && s.worthStoring() {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *suspect) int {
+		return cmp.Or(cmp.Compare(len(b.state.open()), len(a.state.open())), b.changedAt.Compare(a.changedAt))
+	})
+	var out []State
+	for _, s := range list[:min(len(list), limit)] {
+		out = append(out, s.state)
+	}
+	return out
+}
+
+// worthStoring reports whether the state belongs in the store, which must keep it
+// if all nodes are lost at once.
+func (s *suspect) worthStoring() bool {
+	return s.revision != 0 || len(s.state.open()) >= storedAfterCrashes
+}
--- /dev/null
+++ b/src/quarantine/list_test.go
@@ -0,0 +1,259 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var testStart = time.Unix(1_900_000_000, 0)
+
+// crashAt returns a charge for a crash some seconds after testStart, of a server to
+// which the request was sent 100 ms before.
+func crashAt(server string, seconds float64) Charge {
+	at := testStart.Add(time.Duration(seconds * float64(time.Second)))
+	return Charge{Server: server, Version: "v1", StartedMS: 1, SentAt: at.Add(-100 * time.Millisecond), At: at}
+}
+
+func testDigest(customer, body string) Digest {
+	return NewDigest(customer, "POST", "site.example", "/", []byte(body))
+}
+
+// testList returns a list and its clock.
+func testList() (*List, *time.Time) {
+	now := testStart
+	return NewList(func() time.Time { return now }), &now
+}
+
+// Guards against BUDGET of issue 25: a request under which three servers had crashed.
+func TestRequestIsQuarantinedAtThirdCrash(t *testing.T) {
+	is := is.New(t)
+	l, _ := testList()
+	d := testDigest("one", "bad")
+	is.True(!l.Active())
+	is.Equal(l.Charge(d, crashAt("a", 1)).Crashes, 1)
+	is.Equal(l.Charge(d, crashAt("a", 1.2)).Crashes, 1) // a second report about the same crash
+	is.True(!l.Charge(d, crashAt("b", 2)).Quarantined)
+	is.True(l.Charge(d, crashAt("a", 3)).Quarantined) // the server was back in between
+	is.True(!l.Standing(testDigest("two", "bad")).Quarantined)
+}
+
+// Guards against condemning a popular request for a failure of many servers at once.
+func TestSimultaneousCrashesCountOnce(t *testing.T) {
+	is := is.New(t)
+	l, _ := testList()
+	d := testDigest("one", "popular")
+	for i := range 6 {
+		is.Equal(l.Charge(d, crashAt(fmt.Sprint("s-", i), 1+float64(i)/100)).Crashes, 1)
+	}
+}
+
+// Guards against condemning a request for the crashes of another one beside it.
+func TestCrashesExplainedByAnotherRequestDoNotCount(t *testing.T) {
+	is := is.New(t)
+	l, _ := testList()
+	bad, sound := testDigest("one", "bad"), testDigest("one", "sound")
+	for i, server := range []string{"a", "b", "c", "d"} {
+		l.Charge(bad, crashAt(server, float64(i)))
+	}
+	for i, server := range []string{"a", "b", "c"} {
+		l.Charge(sound, crashAt(server, float64(i)))
+	}
+	is.True(l.Standing(bad).Quarantined)
+	is.Equal(l.Standing(sound), Standing{})
+}
+
+func TestCompletionClearsRequest(t *testing.T) {
+	is := is.New(t)
+	l, now := testList()
+	d := testDigest("one", "sound")
+	for i := range 3 {
+		l.Charge(d, crashAt(fmt.Sprint("s-", i), float64(i)))
+	}
+	is.True(l.Standing(d).Quarantined)
+	is.True(l.Clear(d, testStart.Add(5*time.Second)))
+	is.Equal(l.Standing(d), Standing{})
+	is.True(!l.Clear(d, testStart.Add(6*time.Second))) // nothing to clear
+	*now = now.Add(clearedPeriod + time.Second)
+	is.Equal(len(l.Report(10)), 0)
+	is.True(!l.Active()) // forgotten, so digests need not be computed
+}
+
+// All nodes must come to the same judgment, in whatever order and how often they hear of it.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var states []State
+		for range rapid.IntRange(1, 20).Draw(t, "reports") {
+			d := testDigest("one", rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "request"))
+			s := State{Digest: d, Charges: []Charge{crashAt(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "server"), 2*float64(rapid.IntRange(0, 3).Draw(t, "time")))}}
+			if rapid.IntRange(0, 9).Draw(t, "completes") == 0 {
+				s.ClearedThrough = s.Charges[0].At.Add(time.Second)
+			}
+			states = append(states, s)
+		}
+		first, _ := testList()
+		first.Merge(states)
+		shuffled := append(slices.Clone(states), states...)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		rng.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		second, _ := testList()
+		for _, s := range shuffled {
+			second.Merge([]State{s})
+		}
+		for _, name := range []string{"x", "y", "z"} {
+			d := testDigest("one", name)
+			if first.Standing(d) != second.Standing(d) {
+				t.Fatalf("%s: %+v and %+v", name, first.Standing(d), second.Standing(d))
+			}
+		}
+	})
+}
+
+// However many bad requests a customer makes, the list stays bounded and keeps
+// what it knows of other customers' requests.
+func TestFloodOfBadRequestsPushesOutNoOtherCustomer(t *testing.T) {
+	is := is.New(t)
+	l, _ := testList()
+	other := testDigest("two", "bad")
+	for i := range 3 {
+		l.Charge(other, crashAt(fmt.Sprint("s-", i), float64(i)))
+	}
+	for i := range maxSuspects + 500 {
+		l.Charge(testDigest("one", fmt.Sprint(i)), crashAt(fmt.Sprint("f-", i), float64(i)))
+	}
+	is.Equal(len(l.suspects), maxSuspects)
+	is.True(l.Standing(other).Quarantined)
+	is.Equal(len(l.Report(12)), 12)
+}
+
+func TestStoreReceivesRepeatedCrashesOnly(t *testing.T) {
+	is := is.New(t)
+	l, now := testList()
+	d := testDigest("one", "bad")
+	l.Charge(d, crashAt("a", 1))
+	is.Equal(len(l.Unstored(8)), 0)
+	l.Charge(d, crashAt("b", 2))
+	pending := l.Unstored(8)
+	is.Equal(len(pending), 1)
+	pending[0].Revision = 7
+	l.Written(pending[0])
+	is.Equal(len(l.Unstored(8)), 0)
+	l.ApplyStored(nil, 6) // the view has not caught up with the write
+	is.Equal(l.Standing(d).Crashes, 2)
+
+	peer, peerNow := testList()
+	state, err := DecodeState(d, pending[0].State.Encode())
+	is.NoErr(err)
+	peer.ApplyStored([]Stored{{state, 7}}, 7)
+	is.Equal(peer.Standing(d).Crashes, 2)
+	is.Equal(len(peer.Unstored(8)), 0)
+	third := State{Digest: d, Charges: []Charge{crashAt("c", 3)}}
+	peer.Merge([]State{third})
+	is.Equal(len(peer.Unstored(8)), 0) // the node that saw it writes it
+	*peerNow = peerNow.Add(takeoverDelay + time.Second)
+	is.Equal(len(peer.Unstored(8)), 1) // it may have been lost
+
+	*now = now.Add(time.Minute)
+	l.ApplyStored(nil, 8) // removed by an operator
+	is.Equal(l.Standing(d), Standing{})
+}
+
+func TestStoreMakesRoom(t *testing.T) {
+	is := is.New(t)
+	var stored []Stored
+	for i := range maxStored {
+		d := testDigest(map[bool]string{true: "flood", false: fmt.Sprint("customer-", i)}[i%2 == 0], fmt.Sprint(i))
+		stored = append(stored, Stored{State{Digest: d, Charges: []Charge{crashAt("a", float64(i))}}, int64(i + 1)})
+	}
+	is.Equal(len(ToRemove(stored[1:])), 0)
+	is.Equal(ToRemove(stored), []Digest{testDigest("flood", "0")}) // the oldest of the customer with the most
+}
+
+// A quarantined request is tried once after a while and once on other software, never more.
+func TestTrialsAreBounded(t *testing.T) {
+	is := is.New(t)
+	l, _ := testList()
+	d := testDigest("one", "bad")
+	for i := range 3 {
+		l.Charge(d, crashAt(fmt.Sprint("s-", i), float64(i)))
+	}
+	later := testStart.Add(2 * time.Hour)
+	is.True(!l.TrialDue(d, "v1", later)) // not stored, so that other nodes may try it too
+	revision := int64(1)
+	write := func(s Stored) {
+		revision++
+		s.Revision = revision
+		l.Written(s)
+	}
+	write(l.Unstored(1)[0])
+	is.True(!l.TrialDue(d, "v1", testStart.Add(3*time.Second)))
+	is.True(l.TrialDue(d, "v1", later))
+	trial, ok := l.WithTrial(d, "v1")
+	is.True(ok)
+	write(trial)
+	is.True(!l.TrialDue(d, "v1", later.Add(24*time.Hour)))
+	is.True(l.TrialDue(d, "v2", later))
+	trial, _ = l.WithTrial(d, "v2")
+	write(trial)
+	is.True(!l.TrialDue(d, "v3", later))
+	is.True(l.Standing(d).Quarantined)
+	l.Clear(d, later)
+	is.True(!l.Standing(d).Quarantined)
+}
+
+// A request that crashes whatever runs it is stopped after a few crashes, and sound
+// requests beside it are not, over random placements of both.
+func TestOnlyCrashingRequestsAreQuarantined(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, _ := testList()
+		servers := rapid.IntRange(6, 18).Draw(t, "servers")
+		bad := testDigest("one", "bad")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		crashes := 0
+		for attempt := 0; attempt < 40 && !l.Standing(bad).Quarantined; attempt++ {
+			server, at := fmt.Sprint("s-", rng.IntN(servers)), 1.5*float64(attempt)
+			crashes++
+			l.Charge(bad, crashAt(server, at))
+			for i := range rng.IntN(8) {
+				// Each runs beside the bad one at random, and completes at times.
+				sound := testDigest("two", fmt.Sprint(rng.IntN(30), i))
+				if l.Standing(sound).Crashes > 0 {
+					continue // the gateway keeps suspects apart
+				}
+				l.Charge(sound, crashAt(server, at))
+				if rng.IntN(3) == 0 {
+					l.Clear(sound, testStart.Add(time.Duration((at+0.5)*float64(time.Second))))
+				}
+			}
+		}
+		if crashes != crashesToQuarantine {
+			t.Fatalf("quarantined after %d crashes", crashes)
+		}
+		for d := range l.suspects {
+			if d != bad && l.Standing(d).Quarantined {
+				t.Fatalf("sound request %s is quarantined: %+v", d, l.Get(d))
+			}
+		}
+	})
+}
+
+func FuzzDecodeState(f *testing.F) {
+	s := State{Digest: testDigest("one", "x"), ClearedThrough: testStart, Charges: []Charge{crashAt("a", 1)}, Trials: []string{"v1"}}
+	f.Add(s.Encode())
+	f.Add([]byte(`{"charges":[{}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		decoded, err := DecodeState(s.Digest, raw)
+		if err != nil {
+			return
+		}
+		again, err := DecodeState(s.Digest, decoded.Encode())
+		if err != nil || len(again.Charges) != len(decoded.Charges) {
+			t.Fatalf("%q: %v, %v", raw, decoded, err)
+		}
+	})
+}
--- /dev/null
+++ b/src/quarantine/state.go
@@ -0,0 +1,135 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+)
+
+// Charge is one crash of a server that had the request in progress.
+type Charge struct {
+	Server    string    // ID
+	Version   string    // software version
+	StartedMS int64     // start of the server before the crash, Unix ms
+	SentAt    time.Time // when the request was sent there, in the time on which the nodes agree
+	At        time.Time // of the crash, in that time
+}
+
+// sameCrashWithin is the time within which two reports about one run of a server
+// mean the same crash: a server takes longer to be back.
+const sameCrashWithin = time.Second
+
+// sameCrash reports whether two charges are about the same crash.
+func (c Charge) sameCrash(other Charge) bool {
+	return c.Server == other.Server && c.StartedMS == other.StartedMS && c.At.Sub(other.At).Abs() < sameCrashWithin
+}
+
+// State is what is known of one suspected request, as exchanged between nodes and
+// kept in the store.
+type State struct {
+	Digest         Digest
+	ClearedThrough time.Time // the request completed then: earlier charges don't count
+	Charges        []Charge
+	Trials         []string // server versions on which it was tried while quarantined
+}
+
+// maxCharges bounds the charges kept for one request.
+const maxCharges = 8
+
+// merge adds what other says and reports whether anything changed. Merging is
+// commutative and idempotent, so the order of messages doesn't matter.
+func (s *State) merge(other State) (changed bool) {
+	for _, c := range other.Charges {
+		changed = s.charge(c) || changed
+	}
+	if other.ClearedThrough.After(s.ClearedThrough) {
+		s.ClearedThrough = other.ClearedThrough
+		changed = true
+	}
+	for _, version := range other.Trials {
+		if !slices.Contains(s.Trials, version) {
+			s.Trials = append(slices.Clone(s.Trials), version)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// charge adds a charge unless it is known, and keeps the latest maxCharges.
+func (s *State) charge(c Charge) (added bool) {
+	if slices.ContainsFunc(s.Charges, c.sameCrash) {
+		return false
+	}
+	if len(s.Charges) >= maxCharges && c.At.Before(s.Charges[0].At) {
+		return false
+	}
+	s.Charges = append(slices.Clone(s.Charges), c)
+	slices.SortStableFunc(s.Charges, func(a, b Charge) int { return a.At.Compare(b.At) })
+	s.Charges = s.Charges[max(len(s.Charges)-maxCharges, 0):]
+	return true
+}
+
+// open returns the charges since the request last completed.
+func (s *State) open() []Charge {
+	for i, c := range s.Charges {
+		if c.At.After(s.ClearedThrough) {
+			return s.Charges[i:]
+		}
+	}
+	return nil
+}
+
+// lastCharge returns the time of the latest charge, zero if there is none.
+func (s *State) lastCharge() time.Time {
+	if len(s.Charges) == 0 {
+		return time.Time{}
+	}
+	return s.Charges[len(s.Charges)-1].At
+}
+
+// storedState is the form of a State in the store, under its digest.
+type storedState struct {
+	ClearedThroughMS int64          `json:"cleared_through_ms,omitempty"` // Unix ms
+	Charges          []storedCharge `json:"charges"`
+	Trials           []string       `json:"trials,omitempty"`
+}
+
+type storedCharge struct {
+	Server    string `json:"server"`
+	Version   string `json:"version"`
+	StartedMS int64  `json:"started_ms"`
+	SentMS    int64  `json:"sent_ms"`
+	AtMS      int64  `json:"at_ms"`
+}
+
+// Encode returns the form in which a state is stored under its digest.
+func (s *State) Encode() []byte {
+	out := storedState{Trials: s.Trials}
+	if !s.ClearedThrough.IsZero() {
+		out.ClearedThroughMS = s.ClearedThrough.UnixMilli()
+	}
+	for _, c := range s.Charges {
+		out.Charges = append(out.Charges, storedCharge{c.Server, c.Version, c.StartedMS, c.SentAt.UnixMilli(), c.At.UnixMilli()})
+	}
+	raw, err := json.Marshal(out)
+	if err != nil {
+		panic("quarantine: encode state: " + err.Error())
+	}
+	return raw
+}
+
+// DecodeState decodes the form returned by Encode.
+func DecodeState(d Digest, raw []byte) (State, error) {
+	var in storedState
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return State{}, err
+	}
+	s := State{Digest: d, Trials: in.Trials}
+	if in.ClearedThroughMS != 0 {
+		s.ClearedThrough = time.UnixMilli(in.ClearedThroughMS)
+	}
+	for _, c := range in.Charges {
+		s.charge(Charge{c.Server, c.Version, c.StartedMS, time.UnixMilli(c.SentMS), time.UnixMilli(c.AtMS)})
+	}
+	return s, nil
+}
--- a/src/telemetry/gateway.go
+++ b/src/telemetry/gateway.go
@@ -18,6 +18,7 @@
 	refusals       metric.Int64Counter
 	retries        metric.Int64Counter
 	retryNodes     metric.Int64Gauge
+	crashes        metric.Int64Counter
 	addedLatency   metric.Float64Histogram
 	firstEvent     metric.Float64Histogram
 	eventIntervals metric.Float64Histogram
@@ -37,6 +38,7 @@
 		refusals:       inst.counter("refusals", "answers of the gateway's own, by code"),
 		retries:        inst.counter("retries", "repeated sends that the retry budget granted or refused, by service"),
 		retryNodes:     inst.gauge("retry_nodes", "nodes among which the retry budget was divided last, by service"),
+		crashes:        inst.counter("crashes", "crashes of servers charged to a request that ran there, by service and whether the request is quarantined"),
 		addedLatency:   inst.durationHistogram("added", "time from a request's arrival to its first send, by route"),
 		firstEvent:     inst.durationHistogram("first_event", "time from a request's arrival to its first event, by route"),
 		eventIntervals: inst.durationHistogram("between_events", "time between two parts of a stream as they were passed on"),
@@ -82,6 +84,11 @@
 	g.retryNodes.Record(context.Background(), int64(nodes), attrs("service", service))
 }
 
+// Crash counts a crash of a server that is charged to a request.
+func (g *GatewayMetrics) Crash(service string, quarantined bool) {
+	g.crashes.Add(context.Background(), 1, attrs("service", service, "quarantined", strconv.FormatBool(quarantined)))
+}
+
 // AddedLatency records the time from a request's arrival until it was first
 // sent to an upstream.
 func (g *GatewayMetrics) AddedLatency(route string, took time.Duration) {
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -72,6 +72,7 @@
 func TestRequestThatCrashesServersIsNotSentAgain(t *testing.T) {
 	for _, route := range []string{"/once/x", "/repeat/x", "/resume/x"} {
 		t.Run(route[1:len(route)-2], func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			b := newCrashBed(t, 8)
 			var nodes []*gatewayNode
@@ -141,3 +142,93 @@
 	is.Equal(quarantined.Load(), int64(0))
 	is.True(sent.Load() > 100)
 }
+
+// quarantine makes the request known as one that crashes servers, at the given nodes.
+func (b *crashBed) quarantine(nodes []*gatewayNode) {
+	b.t.Helper()
+	b.eventually("request is refused at all nodes", func() bool {
+		refusals := 0
+		for i, n := range nodes {
+			got := n.send(gatewayRequest{method: http.MethodPost, path: "/once/x", id: fmt.Sprint("bad-", i, "-", b.crashes()), body: crashBody})
+			if got.body == "crashes_servers\n" {
+				refusals++
+			}
+		}
+		return refusals == len(nodes)
+	})
+}
+
+// Guards against a quarantined request being sent again after all nodes were lost at
+// once, and at a node that starts while the store does not answer.
+func TestQuarantineOutlivesItsNodes(t *testing.T) {
+	is := is.New(t)
+	b := newCrashBed(t, 8)
+	first := b.startNode(b.store.Address())
+	b.waitServing(first, "p1")
+	b.quarantine([]*gatewayNode{first})
+	b.eventually("stored", func() bool { return len(b.store.Keys("crankridge/quarantine/")) == 1 })
+	first.stop()
+	<-first.done
+	before := b.crashes()
+	second := b.startNode(b.store.Address())
+	b.waitServing(second, "p2")
+	b.store.SetFaults(fake.Faults{Unresponsive: true})
+	third := b.startNode(b.store.Address(), second.settings.Listen.Peers)
+	b.waitServing(third, "p3")
+	for i, n := range []*gatewayNode{second, third} {
+		got := n.send(gatewayRequest{method: http.MethodPost, path: "/once/x", id: fmt.Sprint("again-", i), body: crashBody})
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.Equal(got.body, "crashes_servers\n")
+		is.Equal(got.header.Get("Retry-After"), "") // it would be refused again
+		is.True(got.duration < 100*time.Millisecond)
+	}
+	is.Equal(b.crashes(), before)
+}
+
+// Guards against a request being sent again because the store does not answer when it
+// crashes its servers.
+func TestQuarantineSpreadsWithoutStore(t *testing.T) {
+	is := is.New(t)
+	b := newCrashBed(t, 8)
+	var nodes []*gatewayNode
+	for range 3 {
+		nodes = append(nodes, b.startNode(b.store.Address(), nodeAddresses(nodes)...))
+	}
+	for i, n := range nodes {
+		b.waitServing(n, fmt.Sprint("p", i))
+	}
+	b.store.SetFaults(fake.Faults{Unresponsive: true})
+	late := b.sendCrashing("/once/x", nodes, 5*time.Second)
+	t.Logf("%d crashes, %d of them late", b.crashes(), late)
+	is.Equal(late, 0)
+}
+
+// Guards against condemning requests for what is no crash: lost, spoiled and failed
+// answers, and a server that ends as planned.
+func TestBrokenAnswersDoNotQuarantine(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayTestbed(t)
+	servers := []*fake.Server{b.startServer("i-1"), b.startServer("i-2"), b.startServer("i-3")}
+	n := b.startNode(b.store.Address())
+	b.waitServing(n, "p")
+	for _, behavior := range []fake.Behavior{fake.ConnectionReset, fake.TruncatedStream, fake.WrongRequestID, fake.Failing} {
+		for _, s := range servers {
+			s.SetBehavior(behavior)
+		}
+		for i := range 6 {
+			n.send(gatewayRequest{method: http.MethodPost, path: "/once/x", id: fmt.Sprint(behavior, i), body: "sound", header: map[string]string{"Prompt-Prefix": "aa:1"}})
+		}
+	}
+	for _, s := range servers {
+		b.store.Put("servers/"+s.ID, s.Entry("plain", "zone-1", "draining"))
+	}
+	time.Sleep(300 * time.Millisecond) // until the node knows
+	for _, s := range servers {
+		s.SetBehavior(fake.Healthy)
+	}
+	b.startServer("i-4")
+	b.eventually("served by the new server", func() bool {
+		return n.send(gatewayRequest{method: http.MethodPost, path: "/once/x", id: fmt.Sprint("sound-", time.Now().UnixNano()), body: "sound"}).status == http.StatusOK
+	})
+	is.Equal(len(b.store.Keys("crankridge/quarantine/")), 0)
+}
