--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/crankridge/crankridge/src/clock"
 	"github.com/crankridge/crankridge/src/conn"
 	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/telemetry"
@@ -94,7 +95,7 @@
 // waitForRound waits until the next round. TriggerUrgentExchange can shorten the wait
 // and, if triggerable is set, TriggerExchange.
 func (n *Node) waitForRound(ctx context.Context, wait time.Duration, triggerable bool) {
-	start := time.Now()
+	start := clock.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	trigger := n.trigger
@@ -111,7 +112,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(time.Until(start.Add(minRoundInterval))):
+	case <-time.After(clock.Until(start.Add(minRoundInterval))):
 	}
 }
 
@@ -139,7 +140,7 @@
 // because other nodes request summaries from it or because NeedsAllRecords says so.
 func (n *Node) IsHub() bool {
 	n.mu.Lock()
-	summaryRequested := time.Since(n.summaryRequested) < hubTTL
+	summaryRequested := clock.Since(n.summaryRequested) < hubTTL
 	n.mu.Unlock()
 	return summaryRequested || n.NeedsAllRecords != nil && n.NeedsAllRecords()
 }
@@ -152,7 +153,7 @@
 func (n *Node) isAvoided(node string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return time.Now().Before(n.avoidedUntil[node])
+	return clock.Now().Before(n.avoidedUntil[node])
 }
 
 // targets selects the peers of one round in a system without hubs.
@@ -198,7 +199,7 @@
 	defer n.releasePeer(to.address)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	reply, err := client.Exchange(ctx, n.newRequest(to.scope))
 	if err != nil || reply.GetOwn().GetLeaving() {
 		n.setAvoided(to.node)
@@ -208,7 +209,7 @@
 		return
 	}
 	n.dependency(to.address).Succeeded()
-	midpoint := sent.Add(time.Since(sent) / 2)
+	midpoint := sent.Add(clock.Since(sent) / 2)
 	n.mergeMessage(reply, midpoint)
 	if reply.Summary != nil {
 		n.Members.SetSummary(reply.Own, reply.Summary, midpoint)
@@ -220,7 +221,7 @@
 		return
 	}
 	n.mu.Lock()
-	n.avoidedUntil[node] = time.Now().Add(avoidPeriod)
+	n.avoidedUntil[node] = clock.Now().Add(avoidPeriod)
 	n.mu.Unlock()
 }
 
@@ -245,7 +246,7 @@
 	defer n.mu.Unlock()
 	d := n.dependencies[address]
 	if d == nil {
-		d = &telemetry.Dependency{Name: "peer " + address, Now: time.Now}
+		d = &telemetry.Dependency{Name: "peer " + address, Now: clock.Now}
 		n.dependencies[address] = d
 	}
 	return d
@@ -259,15 +260,15 @@
 
 // Exchange implements Cluster.
 func (n *Node) Exchange(_ context.Context, m *Message) (*Message, error) {
-	n.mergeMessage(m, time.Now())
+	n.mergeMessage(m, clock.Now())
 	n.Members.MergeDirect(m.Own)
 	out := n.newMessage()
 	switch m.Scope {
 	case Scope_SUMMARY:
 		n.mu.Lock()
-		n.summaryRequested = time.Now()
+		n.summaryRequested = clock.Now()
 		n.mu.Unlock()
-		out.Summary = n.Members.Summarize(m.GetOwn().GetNode(), time.Now())
+		out.Summary = n.Members.Summarize(m.GetOwn().GetNode(), clock.Now())
 	case Scope_DIRECT:
 		n.addOthers(out, n.Members.Direct())
 	default:
--- a/src/cluster/members.go
+++ b/src/cluster/members.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/crankridge/crankridge/src/clock"
 )
 
 // Limits on the time since a node was last heard from.
@@ -31,7 +33,7 @@
 	mu              sync.Mutex
 	self            string
 	members         map[string]Member
-	clocks          map[string]clock
+	clocks          map[string]clockSample
 	now             func() time.Time
 	direct          map[string]time.Time // last message received from the node itself
 	pastAdmitted    map[string]float64   // by customer: cost admitted in earlier incarnations and by forgotten nodes
@@ -40,8 +42,8 @@
 	clientAddresses map[string]time.Time // addresses for clients and when a hub last sent them
 }
 
-// clock is a sample of a node's clock.
-type clock struct {
+// clockSample is a sample of a node's clock.
+type clockSample struct {
 	offset time.Duration // from this process's steady time
 	at     time.Time
 }
@@ -49,7 +51,7 @@
 // NewMembers returns the members known to the node self, initially none.
 func NewMembers(self string, now func() time.Time) *Members {
 	return &Members{
-		self: self, members: map[string]Member{}, clocks: map[string]clock{}, now: now,
+		self: self, members: map[string]Member{}, clocks: map[string]clockSample{}, now: now,
 		direct: map[string]time.Time{}, pastAdmitted: map[string]float64{}, clientAddresses: map[string]time.Time{},
 	}
 }
@@ -232,7 +234,7 @@
 func (m *Members) RecordClock(node string, wall time.Time, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.clocks[node] = clock{offset: wall.Sub(m.steadyTime(at)), at: at}
+	m.clocks[node] = clockSample{offset: wall.Sub(m.steadyTime(at)), at: at}
 }
 
 // steadyTime converts a local time to a wall clock that is not affected by steps of
@@ -241,7 +243,7 @@
 	return processStart.Add(at.Sub(processStart)).Round(0)
 }
 
-var processStart = time.Now()
+var processStart = clock.Now()
 
 // AgreedTime converts a local time to the median of the nodes' wall clocks.
 func (m *Members) AgreedTime(at time.Time) time.Time {
@@ -250,7 +252,7 @@
 	if m.hubSummary.summary != nil && m.now().Sub(m.hubSummary.at) < clockSampleTTL {
 		return m.steadyTime(at).Add(m.hubSummary.agreed)
 	}
-	offsets := []time.Duration{time.Now().Round(0).Sub(m.steadyTime(time.Now()))}
+	offsets := []time.Duration{time.Now().Round(0).Sub(m.steadyTime(clock.Now()))}
 	for node, c := range m.clocks {
 		if node != m.self && at.Sub(c.at) < clockSampleTTL {
 			offsets = append(offsets, c.offset)
--- a/src/gateway/crash.go
+++ b/src/gateway/crash.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/crankridge/crankridge/src/clock"
 )
 
 // Timing of crash checks.
@@ -48,15 +50,15 @@
 func (d *crashDetector) check(s *upstream) *crashCheck {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if c := d.checks[s]; c != nil && time.Since(c.started) < crashCheckInterval {
+	if c := d.checks[s]; c != nil && clock.Since(c.started) < crashCheckInterval {
 		return c
 	}
 	for other, c := range d.checks {
-		if time.Since(c.started) > crashPollPeriod+crashCheckInterval {
+		if clock.Since(c.started) > crashPollPeriod+crashCheckInterval {
 			delete(d.checks, other)
 		}
 	}
-	c := &crashCheck{done: make(chan struct{}), started: time.Now()}
+	c := &crashCheck{done: make(chan struct{}), started: clock.Now()}
 	d.checks[s] = c
 	go func() {
 		defer close(c.done)
@@ -74,7 +76,7 @@
 	if leaving {
 		return false
 	}
-	for deadline := time.Now().Add(crashPollPeriod); ; {
+	for deadline := clock.Now().Add(crashPollPeriod); ; {
 		if d.pool.wasReplaced(s) {
 			return true
 		}
@@ -87,7 +89,7 @@
 			return d.pool.wasReplaced(s)
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return listed
-		case time.Now().After(deadline):
+		case clock.Now().After(deadline):
 			return false
 		}
 		time.Sleep(crashPollInterval)
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/crankridge/crankridge/src/clock"
 	"github.com/crankridge/crankridge/src/request"
 )
 
@@ -47,7 +48,7 @@
 // forward sends the request to servers until one gives a response to relay. It
 // returns nil once the response has been sent, or the refusal to respond with.
 func (n *Node) forward(w http.ResponseWriter, req *clientRequest) *refusal {
-	ctx, cancel := context.WithDeadline(req.request.Context(), req.deadline)
+	ctx, cancel := clock.WithDeadline(req.request.Context(), req.deadline)
 	defer cancel()
 	f := &forwarder{node: n, req: req, response: &clientResponse{writer: w}, excluded: map[string]bool{}}
 	n.retryBudget.Earn(req.service, req.arrived.Sub(n.startedAt))
@@ -74,7 +75,7 @@
 		}
 		if done {
 			f.log("answered", s.id, err)
-			n.metrics.Answered(req.route.Name, strconv.Itoa(f.response.status), time.Since(req.arrived))
+			n.metrics.Answered(req.route.Name, strconv.Itoa(f.response.status), clock.Since(req.arrived))
 			return nil
 		}
 		f.log("failed", s.id, err)
@@ -91,7 +92,7 @@
 // spendRetryBudget takes one retry from the budget and reports whether it was granted.
 func (f *forwarder) spendRetryBudget() bool {
 	n := f.node
-	decision := n.retryBudget.Spend(f.req.service, n.roster.Count(), time.Since(n.startedAt))
+	decision := n.retryBudget.Spend(f.req.service, n.roster.Count(), clock.Since(n.startedAt))
 	n.metrics.Retry(f.req.service, decision.Granted, decision.Nodes)
 	if !decision.Granted {
 		f.budgetLogValues = []any{"budget_nodes", decision.Nodes, "budget_requests", decision.Requests, "budget_repeats", decision.Retries, "budget_allowed", decision.Allowed}
@@ -117,7 +118,7 @@
 func (f *forwarder) try(ctx context.Context, s *upstream, uncached int64) (done bool, err error) {
 	n, req := f.node, f.req
 	if f.sends == 0 {
-		n.metrics.AddedLatency(req.route.Name, time.Since(req.arrived))
+		n.metrics.AddedLatency(req.route.Name, clock.Since(req.arrived))
 	}
 	f.sends++
 	f.pendingPrefill, f.gotFirstEvent, f.executed = uncached, false, false
@@ -125,7 +126,7 @@
 	defer n.upstreams.endRequest(s)
 	defer f.prefillDone(s)
 	lastEventID := f.response.lastEventID
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	f.sentAt, f.progressAt = sentAt, sentAt
 	result := n.send(ctx, req, s, lastEventID)
 	n.metrics.Sent(req.service, result.outcome.String())
@@ -155,7 +156,7 @@
 	}
 	f.runs++
 	f.executed = true
-	f.progressAt = time.Now()
+	f.progressAt = clock.Now()
 	defer func() { _ = result.response.Body.Close() }()
 	if isEventStream(result.response) {
 		err = f.response.relayStream(result.response, n.stopping(), func() { f.onEvents(s, sentAt) })
@@ -214,7 +215,7 @@
 // onEvents updates metrics, usage and load estimates when events are relayed
 // from a server to which the request was sent at sentAt.
 func (f *forwarder) onEvents(s *upstream, sentAt time.Time) {
-	n, req, now := f.node, f.req, time.Now()
+	n, req, now := f.node, f.req, clock.Now()
 	if f.gotFirstEvent {
 		n.metrics.EventInterval(now.Sub(f.lastEventAt))
 	} else {
@@ -282,5 +283,5 @@
 		return
 	}
 	klog.InfoS("request", "id", f.req.id, "what", what, "server", server, "route", f.req.route.Name, "kind", f.req.route.Kind, "digest", f.req.requestDigest(),
-		"sends", f.sends, "runs", f.runs, "events", f.response.events, "after_ms", time.Since(f.req.arrived).Milliseconds(), "err", err)
+		"sends", f.sends, "runs", f.runs, "events", f.response.events, "after_ms", clock.Since(f.req.arrived).Milliseconds(), "err", err)
 }
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -22,6 +22,7 @@
 
 	"github.com/crankridge/crankridge/src/admit"
 	"github.com/crankridge/crankridge/src/capacity"
+	"github.com/crankridge/crankridge/src/clock"
 	"github.com/crankridge/crankridge/src/cluster"
 	"github.com/crankridge/crankridge/src/duty"
 	"github.com/crankridge/crankridge/src/process"
@@ -102,24 +103,24 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := clock.Now()
 	n := &Node{
-		initial: settings, platform: platform, store: platform.Store(), headers: platform.Headers(), view: view.New(), upstreams: newUpstreamPool(time.Now),
-		members: cluster.NewMembers(settings.Node, time.Now), roster: cluster.NewRoster(settings.Node, time.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(settings.Quota)),
+		initial: settings, platform: platform, store: platform.Store(), headers: platform.Headers(), view: view.New(), upstreams: newUpstreamPool(clock.Now),
+		members: cluster.NewMembers(settings.Node, clock.Now), roster: cluster.NewRoster(settings.Node, clock.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(settings.Quota)),
 		retryBudget: request.NewWindowBudget(settings.Retries.Ratio, settings.Retries.Extra, settings.Retries.Window, settings.FirstStart),
-		ledger:      duty.NewLedger(), metrics: metrics, scaler: newScaler(), quarantine: quarantine.NewList(time.Now), cacheTracker: newCacheTracker(time.Now), startedAt: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		ledger:      duty.NewLedger(), metrics: metrics, scaler: newScaler(), quarantine: quarantine.NewList(clock.Now), cacheTracker: newCacheTracker(clock.Now), startedAt: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.crashes = newCrashDetector(n.upstreams)
 	n.usage = newUsageCounter(settings.Duties.UsageWindow, n.clusterTime)
 	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.localRecord, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAllRecords: n.holdsLease, OnStalledConn: n.onStalledConn, RaiseIncarnation: n.raiseIncarnation}
 	n.incarnation.Store(now.UnixMicro())
 	n.peers.Start()
-	n.lease = duty.NewLease(n.store, dutyLeaseKey, settings.Node, settings.Duties.Lease, time.Now)
+	n.lease = duty.NewLease(n.store, dutyLeaseKey, settings.Node, settings.Duties.Lease, clock.Exact)
 	n.usageReporter = &duty.UsageReporter{
 		Ledger: n.ledger, Lease: n.lease, Store: n.store, Sender: platform, Prefix: usagePrefix,
 		Window: settings.Duties.UsageWindow, Late: settings.Duties.UsageLate, Clock: n.clusterTime, AllHeard: n.members.AllHeard,
 	}
-	n.provisioner = &capacity.Provisioner{Lease: n.lease, Sender: platform, Now: time.Now}
+	n.provisioner = &capacity.Provisioner{Lease: n.lease, Sender: platform, Now: clock.Now}
 	n.registration = registration{store: n.store, key: nodePrefix + settings.Node, entry: nodeEntry{Peers: settings.Listen.Peers, FailureDomain: settings.FailureDomain}}
 	n.current.Store(&settings)
 	return n, n.registerGauges()
@@ -144,7 +145,7 @@
 	)
 }
 
-func (n *Node) clusterTime() time.Time { return n.members.AgreedTime(time.Now()) }
+func (n *Node) clusterTime() time.Time { return n.members.AgreedTime(clock.Now()) }
 
 func (n *Node) stopping() bool { return n.stopAt.Load() != 0 }
 
@@ -166,6 +167,8 @@
 	if err := n.listen(); err != nil {
 		return err
 	}
+	go clock.Run(background)
+	clock.OnResume(func(time.Duration) { n.upstreams.closeIdleConnections() }) // the servers may have closed them
 	klog.InfoS("started", "node", n.initial.Node, "callers", n.initial.Listen.Callers)
 	go n.view.Follow(background, hubAwareStore{n.store, n.receivesHubUpdates}, "")
 	go n.peers.Run(background)
@@ -238,7 +241,7 @@
 
 // serve handles one client request.
 func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
 	if refused := n.handle(w, r, arrived); refused != nil {
@@ -258,7 +261,7 @@
 		return refused
 	}
 	if c := req.customer; c != nil && c.Rate > 0 {
-		if ok, wait := n.quota.Take(c.Name, req.quotaCost(), req.priority, c.Rate, c.Burst, time.Now()); !ok {
+		if ok, wait := n.quota.Take(c.Name, req.quotaCost(), req.priority, c.Rate, c.Burst, clock.Now()); !ok {
 			logValues := []any{"customer", c.Name, "cost", req.quotaCost(), "rate", c.Rate, "priority", req.priority, "members", n.roster.Count()}
 			return &refusal{status: http.StatusTooManyRequests, code: codeQuota, retryAfter: wait, logValues: logValues}
 		}
@@ -330,7 +333,7 @@
 // onStalledConn closes idle connections to servers once connections to several
 // peers have stalled, because those to servers have probably stalled as well.
 func (n *Node) onStalledConn(peer string) {
-	widespread := n.stalledConns.record(peer, n.roster.Count()-1, time.Now())
+	widespread := n.stalledConns.record(peer, n.roster.Count()-1, clock.Now())
 	klog.InfoS("connections_silent", "peer", peer, "general", widespread)
 	if widespread {
 		n.upstreams.closeIdleConnections()
@@ -374,7 +377,7 @@
 // stop drains the node: it reports itself as leaving, keeps serving for a while,
 // and returns when no requests are left or the grace period is over.
 func (n *Node) stop() {
-	start := time.Now()
+	start := clock.Now()
 	n.stopAt.Store(start.UnixNano())
 	klog.InfoS("stopping", "node", n.initial.Node, "open", n.openRequests.Load())
 	ctx, cancel := context.WithTimeout(context.Background(), duty.CallTimeout)
@@ -385,13 +388,13 @@
 	// For one more second after drainPeriod, late requests are still refused with a
 	// response instead of failing to connect.
 	minDrain := min(drainPeriod+time.Second, grace/2)
-	for time.Now().Before(deadline) {
-		if time.Since(start) > minDrain && n.openRequests.Load() == 0 {
+	for clock.Now().Before(deadline) {
+		if clock.Since(start) > minDrain && n.openRequests.Load() == 0 {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	klog.InfoS("stopped", "node", n.initial.Node, "open", n.openRequests.Load(), "after_ms", time.Since(start).Milliseconds())
+	klog.InfoS("stopped", "node", n.initial.Node, "open", n.openRequests.Load(), "after_ms", clock.Since(start).Milliseconds())
 	klog.Flush()
 }
 
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/crankridge/crankridge/src/clock"
 	"github.com/crankridge/crankridge/src/cluster"
 	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/quarantine"
@@ -84,7 +85,7 @@
 	case err == nil || !f.executed || errors.Is(err, errServerFailed) || errors.Is(err, errResponseMismatch) || errors.Is(err, errNoRequestID):
 		return false
 	case ctx.Err() != nil:
-		return time.Since(f.progressAt) > stalledResponse
+		return clock.Since(f.progressAt) > stalledResponse
 	}
 	return true
 }
--- a/src/gateway/scale.go
+++ b/src/gateway/scale.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/crankridge/crankridge/src/capacity"
+	"github.com/crankridge/crankridge/src/clock"
 	"github.com/crankridge/crankridge/src/cluster"
 	"github.com/crankridge/crankridge/src/traffic"
 )
@@ -58,7 +59,7 @@
 // scaleStep orders servers for every service that has scaling configured.
 func (n *Node) scaleStep(ctx context.Context) {
 	table := n.table.Load()
-	if table == nil || time.Since(n.startedAt) < listingDelay {
+	if table == nil || clock.Since(n.startedAt) < listingDelay {
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(table.Config.Services)) {
@@ -79,7 +80,7 @@
 // requiredServers returns how many servers the demand at all nodes requires.
 // Without demand, the number is inferred from the existing servers.
 func (n *Node) requiredServers(service traffic.Service, servers []traffic.Upstream) capacity.Need {
-	now := time.Now()
+	now := clock.Now()
 	var tokenRate, prefillRate, running, samples float64
 	for _, m := range n.members.All() {
 		if now.Sub(m.Heard) > cluster.LoadMaxAge {
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/crankridge/crankridge/src/clock"
 )
 
 // outcome is the result of one send.
@@ -132,7 +134,7 @@
 		out.Header.Set(n.headers.Customer, req.customer.Name)
 	}
 	out.Header.Set(n.headers.ExpectInstance, s.id)
-	remaining := max(time.Until(req.deadline), time.Millisecond)
+	remaining := max(clock.Until(req.deadline), time.Millisecond)
 	out.Header.Set(n.headers.DeadlineMs, strconv.FormatInt(remaining.Milliseconds(), 10))
 	if lastEventID != "" {
 		out.Header.Set(n.headers.LastEventID, lastEventID)
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/crankridge/crankridge/src/clock"
 	"github.com/crankridge/crankridge/src/cluster"
 	"github.com/crankridge/crankridge/src/process"
 	"github.com/crankridge/crankridge/src/traffic"
@@ -41,7 +42,7 @@
 		r.Loads = append(r.Loads, &cluster.Load{Server: id, Requests: int32(load.requests), UnreadTokens: load.pendingPrefill})
 	}
 	r.Suspects = n.reportSuspects()
-	r.Demands = n.scaler.demands(time.Now())
+	r.Demands = n.scaler.demands(clock.Now())
 	return r
 }
 
@@ -243,7 +244,7 @@
 // so that it needs no watch of its own.
 func (n *Node) receivesHubUpdates() bool {
 	_, _, at, ok := n.members.Summary()
-	return ok && time.Since(at) < hubUpdateMaxAge && n.peers.UsesHubs() && !n.peers.IsHub()
+	return ok && clock.Since(at) < hubUpdateMaxAge && n.peers.UsesHubs() && !n.peers.IsHub()
 }
 
 // holdsLease reports whether this node holds the duty lease.
@@ -255,7 +256,7 @@
 // mayAcquireLease reports whether this node may try to acquire the duty lease. In
 // a large system the hubs do; other nodes only if they receive no hub updates.
 func (n *Node) mayAcquireLease() bool {
-	return !n.peers.UsesHubs() || n.peers.IsHub() || !n.receivesHubUpdates() && time.Since(n.startedAt) > nonHubLeaseDelay
+	return !n.peers.UsesHubs() || n.peers.IsHub() || !n.receivesHubUpdates() && clock.Since(n.startedAt) > nonHubLeaseDelay
 }
 
 // dutyLoop starts the loops that maintain the duty lease and perform the duties.
