--- a/test/regression_test.go
+++ b/test/regression_test.go
@@ -14,6 +14,7 @@
 // newGatewayTestbed sets.
 const (
 	catchUpTime  = 3 * time.Second // after a fault
+	applyTime    = 2 * time.Second // of a configuration change in calm times
 	budgetRatio  = 0.2             // retries per request
 	budgetExtra  = 50.0            // further retries in each window, over all nodes
 	budgetWindow = 10 * time.Second
@@ -60,6 +61,23 @@
 	}
 }
 
+// Calls to the store that were made during a silent outage and are never answered must
+// not delay a configuration change after it (day "darkened").
+func TestChangeAppliesInTimeAfterSilentOutage(t *testing.T) {
+	b := newGatewayTestbed(t)
+	n := b.startNode(b.store.Address())
+	b.eventually("the configuration is in force", func() bool { return configVersion(n) == b.version })
+	b.store.SetFaults(fake.Faults{Unresponsive: true})
+	time.Sleep(1500 * time.Millisecond)
+	b.store.SetFaults(fake.Faults{}) // calls made until now stay without an answer
+	time.Sleep(contactTimeout)
+	b.writeConfig()
+	time.Sleep(applyTime)
+	if got := configVersion(n); got != b.version {
+		t.Errorf("version %d is in force, want %d, %s after the change", got, b.version, applyTime)
+	}
+}
+
 // Unreadable entries from other writers must not hide the configuration (issue 19).
 func TestUnreadableEntriesDoNotHideConfiguration(t *testing.T) {
 	b := newGatewayTestbed(t)
