--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -17,6 +18,7 @@
 	maxClientAddresses = 32                    // in one summary
 	clientAddressTTL   = 3 * time.Second       // age up to which an address from a summary is used
 	maxSuspects        = 16                    // in one summary
+	maxLimits          = 32                    // in one summary
 )
 
 // aggregates are totals over the records of all members, shared by summaries.
@@ -29,6 +31,7 @@
 	meanRequests, meanPendingPrefill float32
 	clientAddresses                  []string
 	suspects                         []*Suspect // those with the most crashes
+	limits                           []*ServerLimit
 }
 
 // serverLoad is the load that all nodes together place on a server.
@@ -110,7 +113,7 @@
 		out.Admitted = append(out.Admitted, &Tally{Name: customer, Total: total - admitted[customer]})
 	}
 	out.Heavy = subtractOwn(m.aggregates.heavy, own.GetLoads())
-	out.Suspects = m.aggregates.suspects
+	out.Suspects, out.Limits = m.aggregates.suspects, m.aggregates.limits
 	out.MeanRequests, out.MeanUnread = m.aggregates.meanRequests, m.aggregates.meanPendingPrefill
 	for range min(maxClientAddresses, len(m.aggregates.clientAddresses)) {
 		out.Callers = append(out.Callers, m.aggregates.clientAddresses[rand.IntN(len(m.aggregates.clientAddresses))])
@@ -136,6 +139,7 @@
 		}
 		out.records[name] = r
 		out.suspects = append(out.suspects, r.Suspects...)
+		out.limits = append(out.limits, r.Limits...)
 		if age <= aliveTimeout && r.Ready && !r.Leaving {
 			out.clientAddresses = append(out.clientAddresses, r.Callers)
 		}
@@ -152,9 +156,33 @@
 	out.heavy, out.meanRequests, out.meanPendingPrefill = heaviest(loads)
 	slices.SortFunc(out.suspects, func(a, b *Suspect) int { return cmp.Compare(len(b.Crashes), len(a.Crashes)) })
 	out.suspects = out.suspects[:min(len(out.suspects), maxSuspects)]
+	out.limits = latestLimits(out.limits)
 	return out
 }
 
+// latestLimits returns the latest report about each server, at most maxLimits, those
+// that name a limit first.
+func latestLimits(list []*ServerLimit) []*ServerLimit {
+	latest := map[string]*ServerLimit{}
+	for _, limit := range list {
+		key := fmt.Sprint(limit.Server, "/", limit.StartedMs)
+		if known := latest[key]; known == nil || limit.AtUs > known.AtUs {
+			latest[key] = limit
+		}
+	}
+	out := slices.Collect(maps.Values(latest))
+	slices.SortFunc(out, func(a, b *ServerLimit) int {
+		switch {
+		case a.Limited && !b.Limited:
+			return -1
+		case b.Limited && !a.Limited:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.AtUs, a.AtUs), cmp.Compare(a.Server, b.Server))
+	})
+	return out[:min(len(out), maxLimits)]
+}
+
 // heaviest returns the servers with the most pending prefill, then the most requests,
 // and the means over the remaining ones.
 func heaviest(loads map[string]serverLoad) (heavy []serverLoad, requests, pendingPrefill float32) {
--- a/src/gateway/choose.go
+++ b/src/gateway/choose.go
@@ -30,6 +30,7 @@
 	suspects       int // requests in progress that are suspected of having crashed servers
 	isolated       int // of these, those that must run apart from other requests
 	version        string
+	limited        bool // the server has named a limit on its requests
 }
 
 func (c candidate) load() float64 {
@@ -140,7 +141,9 @@
 	}
 	owner := "" // the candidate that the last shared part is assigned to
 	if len(p.parts) >= 2 {
-		owner = rendezvousOwner(list, p.parts[len(p.parts)-2].id).id
+		// Limited servers come and go as candidates, so they are not assigned any parts.
+		unlimited := preferred(list, func(c candidate) bool { return !c.limited })
+		owner = rendezvousOwner(unlimited, p.parts[len(p.parts)-2].id).id
 	}
 	lowest := math.Inf(1)
 	// Start at a random candidate so that nodes do not all pick the same one of several equals.
--- a/src/gateway/client_request.go
+++ b/src/gateway/client_request.go
@@ -60,6 +60,7 @@
 	codeNodeFull       = "node_full"
 	codeBrokenResponse = "answer_broken"
 	codeClientGone     = "client_gone"
+	codeServersLimited = "servers_limited"
 	codeCrashesServers = "crashes_servers"
 )
 
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -60,15 +60,20 @@
 		if standing.Quarantined && req.trialVersion == "" {
 			return f.finish(ctx, codeCrashesServers, 0)
 		}
-		s, uncached, ok := n.chooseServer(req, standing, f.excluded)
-		if !ok {
+		picked := n.chooseServer(req, standing, f.excluded)
+		s := picked.server
+		if s == nil && picked.wait > 0 {
+			return f.finish(ctx, codeServersLimited, picked.wait)
+		}
+		if s == nil {
 			return f.finish(ctx, codeNoServer, noServerRetryAfter)
 		}
 		if f.reached > 0 && !f.spendRetryBudget() {
+			n.limits.Refund(s.run())
 			return f.finish(ctx, codeServersFull, serversFullRetryAfter)
 		}
 		n.upstreams.beginSuspect(s, standing)
-		done, err := f.try(ctx, s, uncached)
+		done, err := f.try(ctx, s, picked.uncached)
 		n.upstreams.endSuspect(s, standing)
 		if f.mayHaveCrashed(ctx, err) {
 			f.checkCrash(ctx, s)
@@ -136,6 +141,7 @@
 	}
 	switch result.outcome {
 	case outcomeNotSent:
+		n.limits.Refund(s.run())
 		if ctx.Err() == nil {
 			n.upstreams.recordFailure(s, true)
 		}
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -78,7 +78,8 @@
 	cacheTracker  *cacheTracker
 	stalledConns  stalledConnDetector
 	crashes       *crashDetector
-	quarantine    *quarantine.List // requests suspected of crashing servers
+	quarantine    *quarantine.List       // requests suspected of crashing servers
+	limits        *admit.UpstreamLimiter // limits that servers have named
 
 	startedAt      time.Time
 	incarnation    atomic.Int64
@@ -108,7 +109,7 @@
 		initial: settings, platform: platform, store: platform.Store(), headers: platform.Headers(), view: view.New(), upstreams: newUpstreamPool(clock.Now),
 		members: cluster.NewMembers(settings.Node, clock.Now), roster: cluster.NewRoster(settings.Node, clock.Now), quota: admit.NewSharedLimiter(now, admit.Tolerance(settings.Quota)),
 		retryBudget: request.NewWindowBudget(settings.Retries.Ratio, settings.Retries.Extra, settings.Retries.Window, settings.FirstStart),
-		ledger:      duty.NewLedger(), metrics: metrics, scaler: newScaler(), quarantine: quarantine.NewList(clock.Now), cacheTracker: newCacheTracker(clock.Now), startedAt: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		ledger:      duty.NewLedger(), metrics: metrics, scaler: newScaler(), quarantine: quarantine.NewList(clock.Now), limits: admit.NewUpstreamLimiter(settings.Node), cacheTracker: newCacheTracker(clock.Now), startedAt: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.crashes = newCrashDetector(n.upstreams)
 	n.usage = newUsageCounter(settings.Duties.UsageWindow, n.clusterTime)
@@ -297,23 +298,39 @@
 	return 0
 }
 
-// chooseServer picks the server for the next send. It returns the server, how many
-// tokens of the prompt it will have to prefill, and false if there is no server to
-// send to. On sticky routes it also sets req.queuedTokens.
-func (n *Node) chooseServer(req *clientRequest, standing quarantine.Standing, excluded map[string]bool) (*upstream, int64, bool) {
-	list := keepApart(n.upstreams.candidates(req.service, excluded), standing)
+// choice is the server picked for a send.
+type choice struct {
+	server   *upstream     // nil if there is none to send to
+	uncached int64         // tokens of the prompt that it will have to prefill
+	wait     time.Duration // if only limits of servers leave none: the time after which to try again
+}
+
+// chooseServer picks the server for the next send, and takes the request from its
+// limit. On sticky routes it also sets req.queuedTokens.
+func (n *Node) chooseServer(req *clientRequest, standing quarantine.Standing, excluded map[string]bool) choice {
+	n.rngMu.Lock()
+	defer n.rngMu.Unlock()
+	list, wait := n.withinLimits(n.upstreams.candidates(req.service, excluded), req.priority)
+	picked := n.pick(req, standing, keepApart(list, standing))
+	if picked.server == nil {
+		return choice{wait: wait}
+	}
+	n.limits.Take(picked.server.run(), req.priority, clock.Now())
+	return picked
+}
+
+// pick chooses among the candidates. The caller holds rngMu.
+func (n *Node) pick(req *clientRequest, standing quarantine.Standing, list []candidate) choice {
 	if req.trialVersion != "" {
 		list = slices.DeleteFunc(list, func(c candidate) bool { return c.version != req.trialVersion })
 	}
-	n.rngMu.Lock()
-	defer n.rngMu.Unlock()
 	if req.route.Sticky && !standing.Isolated() {
-		c, uncached, ok := chooseEngine(list, prompt{req.promptParts, req.tokensIn, n.cacheTracker.mayHold}, n.initial.FailureDomain, n.rng)
+		c, uncached, _ := chooseEngine(list, prompt{req.promptParts, req.tokensIn, n.cacheTracker.mayHold}, n.initial.FailureDomain, n.rng)
 		req.queuedTokens = c.pendingPrefill
-		return c.upstream, uncached, ok
+		return choice{server: c.upstream, uncached: uncached}
 	}
-	c, ok := leastLoaded(list, n.initial.FailureDomain, n.rng)
-	return c.upstream, req.tokensIn, ok
+	c, _ := leastLoaded(list, n.initial.FailureDomain, n.rng)
+	return choice{server: c.upstream, uncached: req.tokensIn}
 }
 
 func (n *Node) markDraining(s *upstream) {
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -71,6 +71,7 @@
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	out := n.upstreamRequest(ctx, req, s, lastEventID)
+	sentAt := clock.Now()
 	resp, err := n.upstreams.transport(s).RoundTrip(out)
 	if err != nil {
 		cancel()
@@ -80,7 +81,6 @@
 		return sendResult{outcome: outcomeUnknown, err: err, cancel: cancel}
 	}
 	n.upstreams.recordKeepAlive(s, resp.Header)
-	n.recordLimit(s, resp.Header)
 	id := resp.Header.Get(n.headers.RequestID)
 	declined := resp.Header.Get(n.headers.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 	switch {
@@ -95,6 +95,7 @@
 	case id == "":
 		err = errNoRequestID
 	default:
+		n.recordLimit(s, resp.Header, sentAt)
 		return sendResult{outcome: outcomeAnswered, response: resp, cancel: cancel}
 	}
 	cancel()
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -42,6 +42,7 @@
 		r.Loads = append(r.Loads, &cluster.Load{Server: id, Requests: int32(load.requests), UnreadTokens: load.pendingPrefill})
 	}
 	r.Suspects = n.reportSuspects()
+	r.Limits = n.reportLimits()
 	r.Demands = n.scaler.demands(clock.Now())
 	return r
 }
@@ -58,8 +59,10 @@
 		n.roster.Heard(m.Record.Node, m.Heard)
 		if m.Record.Node != n.initial.Node {
 			n.mergeSuspects(m.Record.Suspects)
+			n.mergeLimits(m.Record.Limits)
 		}
 	}
+	n.limits.SetNodes(n.roster.Others(), clock.Now())
 	if summary, hub, at, ok := n.members.Summary(); ok && !n.peers.IsHub() {
 		n.applySummary(summary, hub, at)
 		return
@@ -85,6 +88,7 @@
 
 func (n *Node) applySummary(s *cluster.Summary, hub string, at time.Time) {
 	n.mergeSuspects(s.Suspects)
+	n.mergeLimits(s.Limits)
 	n.quota.SetAggregate(hub, max(int(s.Nodes), n.roster.Count())-1)
 	n.quota.MergeTotals(hub, summaryIncarnation, admittedTotals(s.Admitted), at)
 	remote := make(map[string]serverLoad, len(s.Heavy))
@@ -162,6 +166,7 @@
 	}
 	n.decodedServers = decoded
 	n.cacheTracker.removeServers(n.upstreams.update(list))
+	n.applyListedLimits(list)
 }
 
 func (n *Node) applyConfig(raw []byte, revision int64) {
--- a/src/gateway/upstreams.go
+++ b/src/gateway/upstreams.go
@@ -43,7 +43,6 @@
 	transport           *http.Transport
 	idleTimeout         time.Duration
 	draining            bool
-	limit               namedLimit
 	requests            int   // in progress from this node
 	suspects            int   // of these, suspected of having crashed a server
 	isolated            int   // of the suspects, those that must run apart from other requests
--- a/test/server_limit_test.go
+++ b/test/server_limit_test.go
@@ -128,3 +128,55 @@
 		})
 	}
 }
+
+// Guards against requests waiting for limited servers, or being refused without a word
+// on when to come back, while all servers of a service are limited.
+func TestRequestsBeyondAllServerLimitsAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newGatewayTestbed(t)
+	var servers []*fake.Server
+	for i := range 4 {
+		s := b.startServer(fmt.Sprint("i-", i))
+		s.SetLimit("1")
+		servers = append(servers, s)
+	}
+	nodes := b.startNodes(5)
+	started := time.Now()
+	load := startLoad(nodes, 50*time.Millisecond)
+	time.Sleep(contactTimeout + limitWindow)
+	load.finish()
+	for _, s := range servers {
+		is.True(mostInWindow(s.Arrivals(), started.Add(contactTimeout)) <= 11)
+	}
+	t.Logf("%d sent, %d answered, %d refused, %d of these late or without Retry-After", load.sent.Load(), load.ok.Load(), load.refused.Load(), load.invalid.Load())
+	is.True(load.ok.Load() >= 10) // 4 a second for 7 s
+	is.True(load.refused.Load() > load.ok.Load())
+	is.Equal(load.invalid.Load(), int64(0))
+	is.Equal(load.other.Load(), int64(0))
+}
+
+// Guards against a limit that never ends, as a server that gets nothing cannot say so,
+// and against one that a restarted server has not named.
+func TestServerLimitEnds(t *testing.T) {
+	b := newGatewayTestbed(t)
+	limited := b.startServer("i-1")
+	b.startServer("i-2")
+	nodes := b.startNodes(3)
+	load := startLoad(nodes, 20*time.Millisecond)
+	defer load.finish()
+	recent := func() int {
+		before := len(limited.Arrivals())
+		time.Sleep(500 * time.Millisecond)
+		return len(limited.Arrivals()) - before
+	}
+	limited.SetLimit("0.5")
+	b.eventually("the limit holds", func() bool { return recent() <= 2 })
+	limited.SetLimit()
+	b.eventually("the limit has ended", func() bool { return recent() >= 20 })
+	limited.SetLimit("0")
+	b.eventually("the limit holds again", func() bool { return recent() <= 2 })
+	limited.SetLimit()
+	limited.Restart()
+	b.store.Put("servers/i-1", limited.Entry("plain", "zone-1", "ready"))
+	b.eventually("the limit ended with the server's earlier run", func() bool { return recent() >= 20 })
+}
