admit: return a silent peer's estimated share also for customers it no longer reports

A peer that falls silent is charged an even share of each limit, which its next report replaces. MergeTotals returned that estimate only for the customers named in the report: after a restart of the peer the others stayed charged, and their requests were refused below the limit until the bucket had refilled.

TestEstimateForSilentPeerIsReturned failed before. The same commit formats upstream_limit_test.go.

--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -157,9 +157,12 @@
 		if bucket == nil {
 			continue
 		}
-		bucket.level -= total - before[customer] - peer.estimated[customer]
+		bucket.level -= total - before[customer]
 		bucket.recentRemote += max(total-before[customer], 0)
 	}
+	for customer, estimated := range peer.estimated {
+		l.buckets[customer].level += estimated // what the report says replaces it
+	}
 	peer.incarnation, peer.totals, peer.receivedAt = incarnation, totals, now
 	clear(peer.estimated)
 }
--- a/src/admit/shared_test.go
+++ b/src/admit/shared_test.go
@@ -251,3 +251,27 @@
 	ok, _ := l.Take("c", 50, 1, 1000, 1000, startTime.Add(10*time.Millisecond))
 	is.True(ok)
 }
+
+// Guards against a silent peer's estimated share being lost if the peer returns, after a
+// restart, without having admitted anything for the customer.
+func TestEstimateForSilentPeerIsReturned(t *testing.T) {
+	is := is.New(t)
+	l := NewSharedLimiter(startTime, Tolerance{Window: 8 * time.Second})
+	l.SetPeers([]string{"peer"})
+	l.MergeTotals("peer", 1, map[string]float64{"c": 0}, startTime)
+	now := startTime
+	for range 8 {
+		now = now.Add(time.Second)
+		for {
+			if ok, _ := l.Take("c", 50, 0, 100, 400, now); !ok {
+				break
+			}
+		}
+	}
+	before := l.buckets["c"].level
+	estimated := l.peers["peer"].estimated["c"]
+	is.True(estimated > 100)
+	l.MergeTotals("peer", 2, map[string]float64{"other": 5}, now)
+	is.Equal(l.buckets["c"].level, before+estimated)
+	is.Equal(len(l.peers["peer"].estimated), 0)
+}
--- a/src/admit/upstream_limit_test.go
+++ b/src/admit/upstream_limit_test.go
@@ -102,7 +102,9 @@
 // and one that comes back because a node that was cut off still reports it.
 func TestLaterNewsOfALimitWin(t *testing.T) {
 	is := is.New(t)
-	at := func(seconds float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second))) }
+	at := func(seconds float64) time.Time {
+		return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
 	l := NewUpstreamLimiter("self")
 	is.True(!l.Observe(limitRun, false, 0, at(0), at(1), at(1)))
 	is.True(!l.Active())
