admit: nodes that all start at once begin with less of a customer's limit

TestSharedLimitHoldsOverAllNodesAndAnyWindow of KNOWN-RED.txt: 11240 admitted in a window that may hold 11100, with 8 nodes that all restart twice in it. Each start let every node use 0.3 of the whole bucket before it heard of the others, and a restart forgets what the bucket was overdrawn by.

A bucket now begins with an even share of its depth, between 0.1 (the reserve that a request of priority 1 must leave, so a new node still admits at once) and 0.3 as before.

--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -36,6 +36,7 @@
 	burstDepthFraction     = 0.5       // part of the burst in the depth; the rest is in the fill rate
 	slackDepthFraction     = 0.25      // part of the slack in the depth
 	initialFillFraction    = 0.3       // initial level as part of the depth: earlier admissions are unknown
+	minInitialFillFraction = 0.1       // the same with many nodes: the reserve that priority 1 must leave
 	toleranceUsed          = 0.4       // used part of overage and slack
 	toleranceUsedAggregate = 0.15      // the same with SetAggregate
 	priorityReserve        = 0.1       // part of the depth that each step to a lower priority must leave
@@ -257,10 +258,16 @@
 	}
 }
 
+// initialFill returns the initial level of a bucket as part of its depth. All nodes may
+// start at once, and use theirs before they hear of each other.
+func (l *SharedLimiter) initialFill() float64 {
+	return max(min(initialFillFraction, 1/float64(l.nodes)), minInitialFillFraction)
+}
+
 func (l *SharedLimiter) refill(customer string, fill, depth float64, now time.Time) *sharedBucket {
 	bucket := l.buckets[customer]
 	if bucket == nil {
-		bucket = &sharedBucket{updatedAt: l.startedAt, level: initialFillFraction * depth}
+		bucket = &sharedBucket{updatedAt: l.startedAt, level: l.initialFill() * depth}
 		l.buckets[customer] = bucket
 	}
 	elapsed := max(min(now.Sub(bucket.updatedAt), maxRefillInterval), 0).Seconds()
