gateway: find a crash behind a proxy, and count one for each run of a server

Seen by the soak, whose servers stand behind a proxy, when a request that crashes them was added to it: the proxy accepts connections while the server is down, so no crash was found. And where a server's later start showed the crash, each response of that run that had broken in the 8 s before, at whatever time, was charged as a crash of its own: sound requests had up to 8 crashes by one restart.

A server that seems to run is watched for 8 s; a resend waits for the first probe only. A crash found by a later start has one time for all requests, and is not charged to those whose failure the server outlived, as its later responses show.

--- a/src/gateway/crash.go
+++ b/src/gateway/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,18 +18,20 @@
 const (
 	crashDialTimeout   = 300 * time.Millisecond
 	crashWait          = 100 * time.Millisecond // for which a resend waits for the check
-	crashPollInterval  = 500 * time.Millisecond // while a server neither accepts nor refuses connections
+	crashPollInterval  = 200 * time.Millisecond // while a server may be back later
 	crashPollPeriod    = 8 * time.Second
 	crashCheckInterval = 500 * time.Millisecond // between two checks of one server
 	stalledResponse    = time.Second            // without progress, after which an abandoned response is checked as well
 )
 
-// crashCheck finds out whether a server has crashed. crashed may be read once done is
-// closed.
+// crashCheck finds out whether a server has crashed. probed is closed when a first
+// attempt to connect has shown whether it is gone, and done when the result is final.
 type crashCheck struct {
-	done    chan struct{}
-	started time.Time
-	crashed bool
+	probed      chan struct{}
+	done        chan struct{}
+	started     time.Time
+	crashed     atomic.Bool
+	restartedAt time.Time // the server's own clock; set if the crash shows only by a later start
 }
 
 // crashDetector tells crashes of servers from everything else that ends a response
@@ -36,14 +39,16 @@
 // then back with a later start. A lost, spoiled or reset response, a partition and a
 // planned end of the server don't count.
 type crashDetector struct {
-	pool   *upstreamPool
-	dial   func(ctx context.Context, network, address string) (net.Conn, error)
-	mu     sync.Mutex
-	checks map[*upstream]*crashCheck // the latest of each server
+	pool *upstreamPool
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	watchPeriod time.Duration // for which a server that seems to run is watched
+	mu          sync.Mutex
+	checks      map[*upstream]*crashCheck // the latest of each server
 }
 
 func newCrashDetector(pool *upstreamPool) *crashDetector {
-	return &crashDetector{pool: pool, dial: (&net.Dialer{}).DialContext, checks: map[*upstream]*crashCheck{}}
+	return &crashDetector{pool: pool, dial: (&net.Dialer{}).DialContext, watchPeriod: crashPollPeriod, checks: map[*upstream]*crashCheck{}}
 }
 
 // check returns the check of a server that is running or has just ended, or starts one.
@@ -58,44 +63,71 @@
 			delete(d.checks, other)
 		}
 	}
-	c := &crashCheck{done: make(chan struct{}), started: clock.Now()}
+	c := &crashCheck{probed: make(chan struct{}), done: make(chan struct{}), started: clock.Now()}
 	d.checks[s] = c
 	go func() {
 		defer close(c.done)
-		c.crashed = d.hasCrashed(s)
-		if c.crashed {
-			klog.InfoS("server_crashed", "server", s.id, "born", s.startedMS)
+		d.run(c, s)
+		if c.crashed.Load() {
+			klog.InfoS("server_crashed", "server", s.id, "born", s.startedMS, "after_ms", clock.Since(c.started).Milliseconds())
 		}
 	}()
 	return c
 }
 
-// hasCrashed blocks until it is known whether the server has crashed.
-func (d *crashDetector) hasCrashed(s *upstream) bool {
-	leaving, listed := d.pool.status(s)
-	if leaving {
-		return false
+// run checks the server now and, as a proxy may accept connections in its place or a
+// partition hide it, watches for a while whether it is back with a later start.
+func (d *crashDetector) run(c *crashCheck, s *upstream) {
+	draining, listed := d.pool.status(s)
+	if draining {
+		close(c.probed)
+		return
 	}
-	for deadline := clock.Now().Add(crashPollPeriod); ; {
-		if d.pool.wasReplaced(s) {
-			return true
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), crashDialTimeout)
-		conn, err := d.dial(ctx, "tcp", s.address)
-		cancel()
-		switch {
-		case err == nil:
-			_ = conn.Close()
-			return d.pool.wasReplaced(s)
-		case errors.Is(err, syscall.ECONNREFUSED):
-			return listed
-		case clock.Now().After(deadline):
-			return false
+	c.findRestart(d.pool, s)
+	if !c.crashed.Load() && listed && d.refusesConnections(s) {
+		c.crashed.Store(true)
+	}
+	close(c.probed)
+	for !c.crashed.Load() && clock.Since(c.started) < d.watchPeriod {
+		time.Sleep(min(crashPollInterval, d.watchPeriod))
+		if draining, _ := d.pool.status(s); draining {
+			return
 		}
-		time.Sleep(crashPollInterval)
+		c.findRestart(d.pool, s)
+	}
+}
+
+func (c *crashCheck) findRestart(pool *upstreamPool, s *upstream) {
+	if startedMS, ok := pool.successor(s); ok {
+		c.restartedAt = time.UnixMilli(startedMS)
+		c.crashed.Store(true)
 	}
 }
 
+// crashTime returns the time of the crash that ended a request at failedAt, in agreed
+// time. ok is false if there was none, or the server still responded after that failure.
+// A crash that shows only by a later start has the same time for all requests, as one
+// run of a server crashes once.
+func (c *crashCheck) crashTime(pool *upstreamPool, s *upstream, failedAt, agreedFailedAt time.Time) (at time.Time, ok bool) {
+	switch {
+	case !c.crashed.Load():
+		return time.Time{}, false
+	case c.restartedAt.IsZero():
+		return agreedFailedAt, true
+	}
+	return c.restartedAt, !pool.respondedAfter(s, failedAt)
+}
+
+func (d *crashDetector) refusesConnections(s *upstream) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashDialTimeout)
+	defer cancel()
+	conn, err := d.dial(ctx, "tcp", s.address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // status reports whether a server is draining, and whether it is listed. The end of a
 // server that is draining is no crash, and that of an unlisted one need not be.
 func (p *upstreamPool) status(s *upstream) (draining, listed bool) {
@@ -104,18 +136,32 @@
 	return s.draining, p.byID[s.id] != nil
 }
 
-// wasReplaced reports whether a later run of the service is registered under the ID
-// or at the address of a server.
-func (p *upstreamPool) wasReplaced(s *upstream) bool {
-	if s.ctx.Err() != nil {
-		return true
-	}
+// successor returns the start of a later run that is registered under the ID or, for the
+// same service, at the address of a server, in Unix ms.
+func (p *upstreamPool) successor(s *upstream) (startedMS int64, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, other := range p.byService[s.service] {
-		if other != s && other.address == s.address && other.startedMS > s.startedMS {
-			return true
+	if later := p.byID[s.id]; later != nil && later != s {
+		return later.startedMS, true
+	}
+	for _, later := range p.byService[s.service] {
+		if later.address == s.address && later.startedMS > s.startedMS {
+			return later.startedMS, true
 		}
 	}
-	return false
+	return 0, false
+}
+
+// recordResponse records that a server has sent the header of a response.
+func (p *upstreamPool) recordResponse(s *upstream) {
+	p.mu.Lock()
+	s.respondedAt = p.now()
+	p.mu.Unlock()
+}
+
+// respondedAfter reports whether a server has sent a response header since t.
+func (p *upstreamPool) respondedAfter(s *upstream, t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return s.respondedAt.After(t)
 }
--- a/src/gateway/crash_test.go
+++ b/src/gateway/crash_test.go
@@ -44,15 +44,63 @@
 			s := pool.byService["s"][0]
 			pool.update(c.later)
 			d := newCrashDetector(pool)
+			d.watchPeriod = time.Millisecond
 			d.dial = c.dial
 			check := d.check(s)
 			is.Equal(d.check(s), check) // one check for all requests that ended there
 			<-check.done
-			is.Equal(check.crashed, c.crashed)
+			is.Equal(check.crashed.Load(), c.crashed)
 		})
 	}
 }
 
+// Guards against missing a crash behind a proxy, which accepts connections meanwhile.
+func TestCrashBehindProxyIsFound(t *testing.T) {
+	is := is.New(t)
+	pool := newUpstreamPool(time.Now)
+	entry := traffic.Upstream{ID: "i-1", Service: "s", Address: "10.0.0.1:1", StartedMS: 1}
+	pool.update([]traffic.Upstream{entry})
+	d := newCrashDetector(pool)
+	d.dial = func(context.Context, string, string) (net.Conn, error) {
+		conn, other := net.Pipe()
+		return conn, other.Close()
+	}
+	check := d.check(pool.byService["s"][0])
+	<-check.probed
+	is.True(!check.crashed.Load()) // a resend need not wait
+	entry.StartedMS = 2
+	pool.update([]traffic.Upstream{entry})
+	<-check.done
+	is.True(check.crashed.Load())
+}
+
+// Guards against taking several broken responses of one run of a server for as many
+// crashes when that run ends later.
+func TestOneRunCrashesOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	pool := newUpstreamPool(func() time.Time { return now })
+	entry := traffic.Upstream{ID: "i-1", Service: "s", Address: "10.0.0.1:1", StartedMS: 1}
+	pool.update([]traffic.Upstream{entry})
+	s := pool.byService["s"][0]
+	failures := []time.Time{now, now.Add(2 * time.Second), now.Add(4 * time.Second)}
+	now = failures[0].Add(time.Second)
+	pool.recordResponse(s) // after the first failure, so that was no crash
+	check := &crashCheck{restartedAt: time.UnixMilli(1_006_000)}
+	check.crashed.Store(true)
+	list := quarantine.NewList(time.Now)
+	digest := quarantine.NewDigest("c", "GET", "h", "/", nil)
+	charges := 0
+	for _, failedAt := range failures {
+		if at, ok := check.crashTime(pool, s, failedAt, failedAt); ok {
+			charges++
+			list.Charge(digest, quarantine.Charge{Server: s.id, StartedMS: s.startedMS, SentAt: failedAt.Add(-time.Second), At: at})
+		}
+	}
+	is.Equal(charges, 2)
+	is.Equal(len(list.Get(digest).Charges), 1)
+}
+
 // Guards against a sound request being charged with the crashes of suspects beside it.
 func TestSuspectsAreKeptApart(t *testing.T) {
 	is := is.New(t)
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -93,28 +93,34 @@
 // checkCrash charges the request if the server crashed while it ran there. It waits
 // a moment for the result, so that a resend can take it into account.
 func (f *forwarder) checkCrash(ctx context.Context, s *upstream) {
-	check := f.node.crashes.check(s)
+	n, id, digest := f.node, f.req.id, f.req.requestDigest()
+	check := n.crashes.check(s)
+	failedAt := clock.Now()
+	charge := quarantine.Charge{Server: s.id, Version: s.version, StartedMS: s.startedMS, SentAt: n.members.AgreedTime(f.sentAt)}
+	agreedFailedAt := n.members.AgreedTime(failedAt)
 	charged := make(chan struct{})
-	sentAt, at := f.node.members.AgreedTime(f.sentAt), f.node.clusterTime()
 	go func() {
 		defer close(charged)
 		<-check.done
-		if check.crashed {
-			f.node.chargeCrash(f.req, s, sentAt, at)
+		if at, ok := check.crashTime(n.upstreams, s, failedAt, agreedFailedAt); ok {
+			charge.At = at
+			n.chargeCrash(id, digest, s.service, charge)
 		}
 	}()
 	select {
-	case <-charged:
+	case <-check.probed:
 	case <-ctx.Done():
 	case <-time.After(crashWait):
 	}
+	if check.crashed.Load() {
+		<-charged
+	}
 }
 
-func (n *Node) chargeCrash(req *clientRequest, s *upstream, sentAt, at time.Time) {
-	digest := req.requestDigest()
-	standing := n.quarantine.Charge(digest, quarantine.Charge{Server: s.id, Version: s.version, StartedMS: s.startedMS, SentAt: sentAt, At: at})
-	klog.InfoS("suspected", "id", req.id, "digest", digest, "server", s.id, "crashes", standing.Crashes, "quarantined", standing.Quarantined)
-	n.metrics.Crash(req.service, standing.Quarantined)
+func (n *Node) chargeCrash(id string, digest quarantine.Digest, service string, charge quarantine.Charge) {
+	standing := n.quarantine.Charge(digest, charge)
+	klog.InfoS("suspected", "id", id, "digest", digest, "server", charge.Server, "crashes", standing.Crashes, "quarantined", standing.Quarantined)
+	n.metrics.Crash(service, standing.Quarantined)
 	n.peers.TriggerUrgentExchange()
 }
 
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -80,6 +80,7 @@
 		}
 		return sendResult{outcome: outcomeUnknown, err: err, cancel: cancel}
 	}
+	n.upstreams.recordResponse(s)
 	n.upstreams.recordKeepAlive(s, resp.Header)
 	id := resp.Header.Get(n.headers.RequestID)
 	declined := resp.Header.Get(n.headers.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
--- a/src/gateway/upstreams.go
+++ b/src/gateway/upstreams.go
@@ -43,10 +43,11 @@
 	transport           *http.Transport
 	idleTimeout         time.Duration
 	draining            bool
-	requests            int   // in progress from this node
-	suspects            int   // of these, suspected of having crashed a server
-	isolated            int   // of the suspects, those that must run apart from other requests
-	pendingPrefill      int64 // prompt tokens of this node's requests that have no first event yet
+	respondedAt         time.Time // when the header of its latest response was received
+	requests            int       // in progress from this node
+	suspects            int       // of these, suspected of having crashed a server
+	isolated            int       // of the suspects, those that must run apart from other requests
+	pendingPrefill      int64     // prompt tokens of this node's requests that have no first event yet
 	consecutiveFailures int
 	failureRate         float64
 	ejectedUntil        time.Time
