quarantine: don't condemn a request that completes for crashes beside it

Cause: a completion cleared only the crashes that its node knew of by then, and a request present at every crash reached the cap of 4 crashes although another one explained them.

A request that completed before is no request that crashes every server: the cap doesn't hold for it, and it needs 6 unexplained crashes over 5 s or more without a completion. Every completed request is hashed for this now.

TestRequestThatCompletesIsNotCondemnedForCrashesBesideIt fails on the code before.

--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -181,7 +181,7 @@
 	}
 	n.upstreams.recordSuccess(s)
 	if provesCompletion(result.response) {
-		n.clearSuspicion(req)
+		n.recordCompletion(req)
 	}
 	return true, nil
 }
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -124,9 +124,9 @@
 	n.peers.TriggerUrgentExchange()
 }
 
-// clearSuspicion records that a request completed.
-func (n *Node) clearSuspicion(req *clientRequest) {
-	if n.quarantine.Active() && n.quarantine.Clear(req.requestDigest(), n.clusterTime()) {
+// recordCompletion records that a server ran a request to its end.
+func (n *Node) recordCompletion(req *clientRequest) {
+	if n.quarantine.Complete(req.requestDigest(), n.clusterTime()) {
 		klog.InfoS("suspicion_cleared", "id", req.id, "digest", req.requestDigest())
 	}
 }
--- a/src/quarantine/judge.go
+++ b/src/quarantine/judge.go
@@ -9,15 +9,17 @@
 
 // Limits of the judgment and of what is kept.
 const (
-	crashesToQuarantine = 3                // that no other quarantined request explains
-	maxCrashes          = 4                // explained or not
-	crashesToIsolate    = 2                // after which a request runs at the quietest server
-	trialDelay          = 10 * time.Second // from the last crash until a quarantined request may be tried again
-	maxTrials           = 2
-	maxSuspects         = 2048             // at a node
-	reportPeriod        = 15 * time.Second // for which a node reports what it saw
-	clearedPeriod       = 4 * reportPeriod // until a cleared request is forgotten
-	storedAfterCrashes  = 2                // after which a request is kept in the store
+	crashesToQuarantine    = 3                // that no other quarantined request explains
+	crashesAfterCompletion = 6                // the same for a request that completed before
+	spanAfterCompletion    = 5 * time.Second  // without a completion, in which these crashes must lie: popular requests complete all the time
+	maxCrashes             = 4                // explained or not
+	crashesToIsolate       = 2                // after which a request runs at the quietest server
+	trialDelay             = 10 * time.Second // from the last crash until a quarantined request may be tried again
+	maxTrials              = 2
+	maxSuspects            = 2048             // at a node
+	reportPeriod           = 15 * time.Second // for which a node reports what it saw
+	clearedPeriod          = 4 * reportPeriod // until a cleared request is forgotten
+	storedAfterCrashes     = 2                // after which a request is kept in the store
 )
 
 // Standing is how a request is to be treated.
@@ -31,10 +33,11 @@
 
 // accusation is a suspect with its open charges, while a judgment is made.
 type accusation struct {
-	digest  Digest
-	charges []Charge
-	crashes []int   // index of the crash of each charge
-	weight  float64 // sum over the charges of 1 / number of requests charged with the crash
+	digest    Digest
+	charges   []Charge
+	completed bool    // the request completed before these crashes
+	crashes   []int   // index of the crash of each charge
+	weight    float64 // sum over the charges of 1 / number of requests charged with the crash
 }
 
 // judge decides on all suspects together. Requests that crashed the most servers,
@@ -60,7 +63,7 @@
 			}
 		}
 		standing := Standing{Crashes: distinct(remaining)}
-		if standing.Crashes >= crashesToQuarantine || distinct(a.charges) >= maxCrashes {
+		if a.isGuilty(standing.Crashes) {
 			standing.Quarantined = true
 			for _, crash := range a.crashes {
 				explained[crash] = true
@@ -71,6 +74,16 @@
 	return out
 }
 
+// isGuilty decides on a request of which the given number of crashes is not explained by
+// another one. What completed before is not a request that crashes every server.
+func (a *accusation) isGuilty(unexplained int) bool {
+	if a.completed {
+		span := a.charges[len(a.charges)-1].At.Sub(a.charges[0].At)
+		return unexplained >= crashesAfterCompletion && span >= spanAfterCompletion
+	}
+	return unexplained >= crashesToQuarantine || distinct(a.charges) >= maxCrashes
+}
+
 // accuse returns the suspects that have open charges, and by crash the number of
 // requests charged with it.
 func accuse(suspects map[Digest]*suspect) (list []accusation, beside []int) {
@@ -88,7 +101,7 @@
 		return len(beside) - 1
 	}
 	for digest, s := range suspects {
-		a := accusation{digest: digest, charges: s.state.open()}
+		a := accusation{digest: digest, charges: s.state.open(), completed: !s.state.ClearedThrough.IsZero()}
 		if len(a.charges) == 0 {
 			continue
 		}
--- a/src/quarantine/list.go
+++ b/src/quarantine/list.go
@@ -14,6 +14,7 @@
 	active    atomic.Bool
 	mu        sync.Mutex
 	suspects  map[Digest]*suspect
+	completed completions
 	standings map[Digest]Standing // nil if a judgment is due
 }
 
@@ -31,8 +32,7 @@
 	return &List{now: now, suspects: map[Digest]*suspect{}}
 }
 
-// Active reports whether any request is suspected. If not, no digest needs to be
-// computed.
+// Active reports whether any request is suspected.
 func (l *List) Active() bool { return l.active.Load() }
 
 // Charge records a crash that this node saw.
@@ -43,11 +43,12 @@
 	return l.standing(d)
 }
 
-// Clear records that the request completed at the given agreed time. It reports
-// whether the request was suspected.
-func (l *List) Clear(d Digest, at time.Time) bool {
+// Complete records that the request completed at the given agreed time, which clears it
+// of earlier crashes. It reports whether it was suspected of any.
+func (l *List) Complete(d Digest, at time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.completed.record(d, at)
 	s := l.suspects[d]
 	if s == nil || len(s.state.open()) == 0 {
 		return false
@@ -101,6 +102,10 @@
 	if !s.state.merge(state) {
 		return s
 	}
+	if at := l.completed.last(state.Digest); at.After(s.state.ClearedThrough) {
+		s.state.ClearedThrough = at
+		own = true // tell the others
+	}
 	s.own = s.own || own
 	s.unstored = true
 	s.changedAt = l.now()
--- a/src/quarantine/list_test.go
+++ b/src/quarantine/list_test.go
@@ -76,12 +76,43 @@
 		l.Charge(d, crashAt(fmt.Sprint("s-", i), float64(i)))
 	}
 	is.True(l.Standing(d).Quarantined)
-	is.True(l.Clear(d, testStart.Add(5*time.Second)))
+	is.True(l.Complete(d, testStart.Add(5*time.Second)))
 	is.Equal(l.Standing(d), Standing{})
-	is.True(!l.Clear(d, testStart.Add(6*time.Second))) // nothing to clear
+	is.True(!l.Complete(d, testStart.Add(6*time.Second))) // nothing to clear
 	*now = now.Add(clearedPeriod + time.Second)
 	is.Equal(len(l.Report(10)), 0)
-	is.True(!l.Active()) // forgotten, so digests need not be computed
+	is.True(!l.Active())
+}
+
+// Guards against a popular request being refused because many servers crash, one after
+// the other, under a request that runs beside it each time.
+func TestRequestThatCompletesIsNotCondemnedForCrashesBesideIt(t *testing.T) {
+	is := is.New(t)
+	l, _ := testList()
+	popular, bad := testDigest("one", "popular"), testDigest("one", "bad")
+	at := func(seconds float64) time.Time { return testStart.Add(time.Duration(seconds * float64(time.Second))) }
+	l.Complete(popular, at(0))
+	for i := range 5 {
+		l.Merge([]State{{Digest: popular, Charges: []Charge{crashAt(fmt.Sprint("s-", i), float64(1+i))}}})
+		l.Charge(bad, crashAt(fmt.Sprint("s-", i), float64(1+i)))
+	}
+	is.True(l.Standing(bad).Quarantined)
+	is.True(!l.Standing(popular).Quarantined)
+
+	// A crash that another node reports late is cleared by a completion that this node knows.
+	l.Complete(popular, at(7))
+	l.Merge([]State{{Digest: popular, Charges: []Charge{crashAt("s-9", 6.9)}}})
+	is.Equal(l.Standing(popular), Standing{})
+	is.Equal(l.Report(1)[0].Digest, bad)
+	is.Equal(l.Report(2)[1].ClearedThrough, at(7)) // the others hear of it
+
+	// Software that crashes on it since an update is a reason all the same.
+	for i := range crashesAfterCompletion {
+		l.Charge(popular, crashAt(fmt.Sprint("t-", i), 10+float64(i)/5))
+	}
+	is.True(!l.Standing(popular).Quarantined) // all within a second
+	l.Charge(popular, crashAt("t-9", 10+spanAfterCompletion.Seconds()))
+	is.True(l.Standing(popular).Quarantined)
 }
 
 // All nodes must come to the same judgment, in whatever order and how often they hear of it.
@@ -202,7 +233,7 @@
 	write(trial)
 	is.True(!l.TrialDue(d, "v3", later))
 	is.True(l.Standing(d).Quarantined)
-	l.Clear(d, later)
+	l.Complete(d, later)
 	is.True(!l.Standing(d).Quarantined)
 }
 
@@ -227,7 +258,7 @@
 				}
 				l.Charge(sound, crashAt(server, at))
 				if rng.IntN(3) == 0 {
-					l.Clear(sound, testStart.Add(time.Duration((at+0.5)*float64(time.Second))))
+					l.Complete(sound, testStart.Add(time.Duration((at+0.5)*float64(time.Second))))
 				}
 			}
 		}
