test: the soak sends a request that crashes its servers

One request in 40 crashes the server that runs it, during the faults and after them. The soak checks that it is not sent again and again by calm nodes, and that no other request is refused for it.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -36,6 +36,8 @@
 	soakRetryRatio      = 0.02                   // of the retry budget; small, so that overruns of ExtraRetries show
 	soakExtraRetries    = 20.0
 	soakTimingMargin    = 300 * time.Millisecond // for scheduling delays of the test machine
+	soakCrashingOneIn   = 40                     // requests, of which one crashes the server that runs it
+	soakDowntime        = 300 * time.Millisecond // of a server that crashed
 )
 
 // soakRegressions are seeds that have failed, each with the cause.
@@ -44,6 +46,7 @@
 	// Concurrent test runs took each other's ports (bind: address already in use).
 	13141368818159869680,
 	7519613443594826010,
+	14405179127387216923, // popular requests were quarantined for crashes that another one caused
 }
 
 type soak struct {
@@ -56,6 +59,7 @@
 	links     []*link // to the servers, by the same index
 	mu        sync.Mutex
 	responses []soakResponse
+	clients   int // started so far
 	failures  []string
 	faultLog  string // faults injected so far, for the failure report
 }
@@ -75,6 +79,7 @@
 	at         time.Time
 	atMostOnce bool
 	stream     bool
+	crashing   bool // it crashes the server that runs it
 	gatewayResponse
 }
 
@@ -108,16 +113,15 @@
 	if text := os.Getenv("SOAK_SECONDS"); text != "" {
 		seconds, _ = strconv.Atoi(text)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(seconds)*time.Second)
+	duration := time.Duration(seconds) * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
 	var running sync.WaitGroup
-	for i := range soakClients {
-		running.Add(1)
-		go func() {
-			defer running.Done()
-			s.runClient(ctx, i)
-		}()
-	}
+	running.Add(1)
+	go func() {
+		defer running.Done()
+		s.runClients(duration)
+	}()
 	for range 3 {
 		running.Add(1)
 		go func() {
@@ -130,6 +134,7 @@
 	s.checkChange()
 	s.checkRetryBudget()
 	s.checkRecovery()
+	s.checkCrashingRequest()
 	s.checkResponses()
 	s.checkDuties()
 	if len(s.failures) > 0 {
@@ -171,7 +176,9 @@
 	entry := server.Entry("plain", "zone-1", "ready")
 	l := newStallableLink(s.t, "to-"+id, entry["Address"].(string))
 	s.servers, s.links = append(s.servers, server), append(s.links, l)
-	s.registerServer(len(s.servers) - 1)
+	index := len(s.servers) - 1
+	server.CrashOn(crashBody, soakDowntime, func() { s.registerServer(index) })
+	s.registerServer(index)
 }
 
 // registerServer stores a server's own entry, with its link's address.
@@ -228,6 +235,10 @@
 		default:
 			req.path, resp.stream = "/resume/x", true
 		}
+		if s.intN(soakCrashingOneIn) == 0 {
+			req.method, req.path, req.body, resp.crashing = http.MethodPost, "/once/x", crashBody, true
+			resp.atMostOnce, resp.stream = true, false
+		}
 		if resp.stream {
 			req.header = map[string]string{"Prompt-Prefix": fmt.Sprintf("a:10,b%d:20,c:30", s.intN(8))}
 		}
@@ -511,6 +522,41 @@
 	}
 }
 
+// runClients runs the clients for a while.
+func (s *soak) runClients(duration time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	var running sync.WaitGroup
+	for range soakClients {
+		s.clients++
+		number := s.clients
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			s.runClient(ctx, number)
+		}()
+	}
+	running.Wait()
+}
+
+// checkCrashingRequest verifies, on calm nodes, that the request which crashes servers
+// is not sent again and again.
+func (s *soak) checkCrashingRequest() {
+	crashes := func() (total int) {
+		for _, server := range s.servers {
+			total += server.Crashes()
+		}
+		return total
+	}
+	before := crashes()
+	s.runClients(contactTimeout)
+	// The three crashes that show what the request does may all come after the faults.
+	if got := crashes() - before; got > max(3-before, 0)+retriesAfter {
+		s.addFailure("%d crashes after the faults, %d before, by one request", got, before)
+	}
+	s.t.Logf("%d crashes", crashes())
+}
+
 // waitVersion waits until a node has the newest configuration version.
 func (s *soak) waitVersion(p *soakProc, deadline time.Time) bool {
 	for time.Now().Before(deadline) {
@@ -541,6 +587,8 @@
 	complete := 0
 	for _, r := range s.responses {
 		switch {
+		case !r.crashing && r.body == "crashes_servers\n":
+			s.addFailure("%s was refused for crashing servers, but does not", r.id)
 		case r.atMostOnce && runs[r.id] > 1:
 			s.addFailure("%s ran %d times", r.id, runs[r.id])
 		case (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) && r.err == nil && runs[r.id] > 0 && r.atMostOnce:
