--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -38,6 +38,7 @@
 	soakTimingMargin    = 300 * time.Millisecond // for scheduling delays of the test machine
 	soakCrashingOneIn   = 40                     // requests, of which one crashes the server that runs it
 	soakDowntime        = 300 * time.Millisecond // of a server that crashed
+	soakLimit           = 2.0                    // requests per second, named by a server after the faults
 )
 
 // soakRegressions are seeds that have failed, each with the cause.
@@ -135,6 +136,7 @@
 	s.checkRetryBudget()
 	s.checkRecovery()
 	s.checkCrashingRequest()
+	s.checkServerLimit()
 	s.checkResponses()
 	s.checkDuties()
 	if len(s.failures) > 0 {
@@ -259,7 +261,7 @@
 	}{
 		{"kill", s.killNode}, {"stop", s.stopNode}, {"pause", s.pauseNode}, {"hangup", s.reloadNode},
 		{"store link", s.disruptStoreLink}, {"server link", s.disruptServerLink}, {"server behavior", s.changeServerBehavior},
-		{"all servers full", s.rejectAll}, {"silence", s.stallConnections}, {"server restart", s.restartServer}, {"foreign entry", s.putForeignEntry}, {"store", s.disruptStore}, {"configure", s.changeConfig}, {"cloud", s.stopCloud},
+		{"all servers full", s.rejectAll}, {"silence", s.stallConnections}, {"server restart", s.restartServer}, {"server limit", s.limitServer}, {"foreign entry", s.putForeignEntry}, {"store", s.disruptStore}, {"configure", s.changeConfig}, {"cloud", s.stopCloud},
 	}
 	start := time.Now()
 	for ctx.Err() == nil {
@@ -382,6 +384,15 @@
 	s.registerServer(i)
 }
 
+// limitServer makes a server name a limit for a while.
+func (s *soak) limitServer() {
+	server := s.servers[s.intN(len(s.servers))]
+	values := []string{"0", "0.5", "3", "1e300", "-1", "a few", "NaN"}
+	server.SetLimit(values[s.intN(len(values))])
+	time.Sleep(s.durationBetween(200*time.Millisecond, 2*time.Second))
+	server.SetLimit()
+}
+
 // putForeignEntry stores an invalid entry, under a key of its own or in place of
 // a server's entry, and later restores the server's entry.
 func (s *soak) putForeignEntry() {
@@ -432,6 +443,7 @@
 	s.cloud.SetDown(false)
 	for _, server := range s.servers {
 		server.SetBehavior(fake.Healthy)
+		server.SetLimit()
 	}
 	s.store.PutRaw("servers/foreign-0", "no base64 !")
 	s.store.Compact()
@@ -557,6 +569,17 @@
 	s.t.Logf("%d crashes", crashes())
 }
 
+// checkServerLimit verifies, on calm nodes, that the limit of a server holds.
+func (s *soak) checkServerLimit() {
+	limited := s.servers[0]
+	limited.SetLimit(fmt.Sprint(soakLimit))
+	from := time.Now().Add(contactTimeout)
+	s.runClients(contactTimeout + limitWindow)
+	if got, allowed := mostInWindow(limited.Arrivals(), from), limitFactor*soakLimit*limitWindow.Seconds()+limitExtra; float64(got) > allowed {
+		s.addFailure("%d requests in %s at a server with a limit of %v, %v allowed", got, limitWindow, soakLimit, allowed)
+	}
+}
+
 // waitVersion waits until a node has the newest configuration version.
 func (s *soak) waitVersion(p *soakProc, deadline time.Time) bool {
 	for time.Now().Before(deadline) {
