--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -156,6 +156,7 @@
 			s, err := n.platform.DecodeServer(it.Key, it.Value)
 			if err != nil {
 				klog.ErrorS(err, "server_entry_unusable", "key", it.Key, "revision", it.Revision)
+				n.metrics.UnusableEntry()
 			}
 			entry = decodedServer{it.Revision, s, err != nil}
 		}
--- a/src/telemetry/gateway.go
+++ b/src/telemetry/gateway.go
@@ -19,6 +19,7 @@
 	retries        metric.Int64Counter
 	retryNodes     metric.Int64Gauge
 	crashes        metric.Int64Counter
+	unusable       metric.Int64Counter
 	addedLatency   metric.Float64Histogram
 	firstEvent     metric.Float64Histogram
 	eventIntervals metric.Float64Histogram
@@ -39,6 +40,7 @@
 		retries:        inst.counter("retries", "repeated sends that the retry budget granted or refused, by service"),
 		retryNodes:     inst.gauge("retry_nodes", "nodes among which the retry budget was divided last, by service"),
 		crashes:        inst.counter("crashes", "crashes of servers charged to a request that ran there, by service and whether the request is quarantined"),
+		unusable:       inst.counter("unusable_entries", "entries of servers in the store that name no server to use, once for each revision"),
 		addedLatency:   inst.durationHistogram("added", "time from a request's arrival to its first send, by route"),
 		firstEvent:     inst.durationHistogram("first_event", "time from a request's arrival to its first event, by route"),
 		eventIntervals: inst.durationHistogram("between_events", "time between two parts of a stream as they were passed on"),
@@ -89,6 +91,9 @@
 	g.crashes.Add(context.Background(), 1, attrs("service", service, "quarantined", strconv.FormatBool(quarantined)))
 }
 
+// UnusableEntry counts an entry of the store that names no server to use.
+func (g *GatewayMetrics) UnusableEntry() { g.unusable.Add(context.Background(), 1) }
+
 // AddedLatency records the time from a request's arrival until it was first
 // sent to an upstream.
 func (g *GatewayMetrics) AddedLatency(route string, took time.Duration) {
