view: drop tombstones by number, not by revision

A listing in which many keys are missing gives all their tombstones its own revision. Dropping the older half by revision then dropped all of them, and the count was wrong: with over 4,001 the next round found none and panicked (index out of range), with 3,000 nothing was left for lagging peers.

TestManyKeysMissingAtOnce failed before: 0 tombstones kept where 1499 were counted.

--- a/src/view/view.go
+++ b/src/view/view.go
@@ -7,6 +7,7 @@
 package view
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -191,19 +192,22 @@
 const maxTombstones = 2000
 
 // compactTombstones drops the older half of the tombstones. A peer that lags
-// behind them is sent a snapshot.
+// behind them is sent a snapshot. Many tombstones may have the same revision, that of a
+// listing in which their keys were missing.
 func (v *View) compactTombstones() {
-	var revs []int64
+	deleted := make([]ports.Item, 0, v.tombstones)
 	for _, it := range v.items {
 		if it.Deleted {
-			revs = append(revs, it.Revision)
+			deleted = append(deleted, it)
 		}
 	}
-	slices.Sort(revs)
-	upTo := revs[len(revs)/2]
-	maps.DeleteFunc(v.items, func(_ string, it ports.Item) bool { return it.Deleted && it.Revision <= upTo })
-	v.tombstones = len(revs) - len(revs)/2 - 1
-	v.tombstoneFloor = max(v.tombstoneFloor, upTo)
+	slices.SortFunc(deleted, func(a, b ports.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	dropped := deleted[:len(deleted)/2]
+	for _, it := range dropped {
+		delete(v.items, it.Key)
+		v.tombstoneFloor = max(v.tombstoneFloor, it.Revision)
+	}
+	v.tombstones = len(deleted) - len(dropped)
 }
 
 // DeltaSince returns what a view that is complete up to rev is missing: the last
--- a/src/view/view_test.go
+++ b/src/view/view_test.go
@@ -119,6 +119,33 @@
 	is.Equal(liveRevisions(behind), liveRevisions(v)) // k0's tombstone was dropped, but k0 stays deleted
 }
 
+// Issue 26: a listing in which thousands of keys are missing at once caused a panic, or
+// dropped all tombstones.
+func TestManyKeysMissingAtOnce(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{3000, 4002, 9000} {
+		var items []ports.Item
+		for i := range count {
+			items = append(items, ports.Item{Key: fmt.Sprint("k-", i), Revision: int64(i + 1)})
+		}
+		v := New()
+		v.ApplyList(items, int64(count))
+		v.ApplyList(nil, int64(count+1))
+		kept := 0
+		for _, it := range v.items {
+			if it.Deleted {
+				kept++
+			}
+		}
+		is.Equal(kept, v.tombstones)
+		is.True(kept <= maxTombstones)
+		is.True(kept >= maxTombstones/4) // lagging peers are still told what was deleted
+		is.Equal(len(v.List("")), 0)
+		v.ApplyPeer(Delta{Items: items, CompleteRevision: int64(count)})
+		is.Equal(len(v.List("")), 0) // what was dropped does not come back
+	}
+}
+
 func TestChangesSinceReportsTruncatedLog(t *testing.T) {
 	is := is.New(t)
 	v := NewWithLog(3)
