admit: removing a queued entry does not advance the virtual time

A customer that cancels a queued request moved the queue's virtual time on as if the request had been dispatched; the next request of another customer then waited behind the first customer's backlog, 50 places in the test. Only a dispatch advances it now.

TestRemovalDoesNotDelayOtherCustomers failed before.

--- a/src/admit/admit_test.go
+++ b/src/admit/admit_test.go
@@ -187,3 +187,23 @@
 	}
 	is.True(float64(allowed)/(steps*step.Seconds()) > limit*0.9)
 }
+
+// Guards against a removed entry moving other customers back, as if it had been dispatched.
+func TestRemovalDoesNotDelayOtherCustomers(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(1000, 1<<20)
+	var entries []*Entry
+	for range 100 {
+		e := &Entry{Customer: "busy", Weight: 1, Cost: 1}
+		entries = append(entries, e)
+		q.Push(e)
+	}
+	is.True(q.Remove(entries[50]))
+	other := &Entry{Customer: "other", Weight: 1, Cost: 1}
+	q.Push(other)
+	places := 1
+	for q.Pop() != other {
+		places++
+	}
+	is.True(places <= 2)
+}
--- a/src/admit/queue.go
+++ b/src/admit/queue.go
@@ -100,8 +100,7 @@
 	if q.dispatches%oldestFirstInterval == 0 {
 		less = arrivedEarlier
 	}
-	bestList, best := q.findFirst(less)
-	return q.removeElement(bestList, best)
+	return q.dispatch(q.findFirst(less))
 }
 
 // PopHighestPriority removes and returns the first entry in order of priority. It
@@ -111,7 +110,15 @@
 	if best == nil {
 		return nil
 	}
-	return q.removeElement(bestList, best)
+	return q.dispatch(bestList, best)
+}
+
+// dispatch removes the entry and advances the virtual time to its start.
+func (q *Queue) dispatch(l *list.List, el *list.Element) *Entry {
+	e := el.Value.(*Entry)
+	q.virtualTime = max(q.virtualTime, e.virtualFinish-e.Cost/float64(max(e.Weight, 1)))
+	q.removeElement(l, el)
+	return e
 }
 
 // findFirst returns the entry that less orders before all others, and its list.
@@ -153,7 +160,7 @@
 	return false
 }
 
-func (q *Queue) removeElement(l *list.List, el *list.Element) *Entry {
+func (q *Queue) removeElement(l *list.List, el *list.Element) {
 	e := l.Remove(el).(*Entry)
 	if l.Len() == 0 {
 		delete(q.byCustomer, e.Customer)
@@ -161,12 +168,10 @@
 	q.count--
 	q.bytes -= e.Bytes
 	q.cost -= e.Cost
-	q.virtualTime = max(q.virtualTime, e.virtualFinish-e.Cost/float64(max(e.Weight, 1)))
 	if q.count == 0 {
 		clear(q.lastFinish)
 		q.virtualTime = 0
 	}
-	return e
 }
 
 // Len returns the number of entries.
