caller: bound the event at which a stream is resumed

Last-Event-ID was taken as sent: a negative one numbered the events from there, one beyond the end gave a usage of as many tokens. It is held between 0 and the tokens of the stream.

TestStreamResumesAtValidEventOnly failed before.

--- a/src/caller/completion.go
+++ b/src/caller/completion.go
@@ -105,11 +105,11 @@
 }
 
 // streamEvents sends the tokens that follow the first after tokens, as server-sent
-// events. The header is sent with the first event, so that a refusal can set the
+// events. after is what a caller sent and may be out of range. The header is sent with the first event, so that a refusal can set the
 // status.
 func (s *Server) streamEvents(w http.ResponseWriter, r *http.Request, f *request.Flight, req *openai.Request, after int) {
 	out := newEventWriter(w, s.config.Limits.WriteStall, f, req)
-	sent := after
+	sent := max(after, 0)
 	for {
 		tokens, answer, changed := f.Since(sent)
 		if len(tokens) == 0 && answer == nil {
@@ -129,7 +129,8 @@
 			out.token(sent, t)
 		}
 		if answer != nil {
-			out.end(sent, *answer)
+			_, total := f.Delivered()
+			out.end(min(sent, total), *answer)
 		}
 		if !out.flush() || answer != nil {
 			return
--- a/src/caller/completion_test.go
+++ b/src/caller/completion_test.go
@@ -44,6 +44,31 @@
 	is.True(!strings.Contains(rec.Body.String(), openai.Done))
 }
 
+// Guards against event IDs that don't number the tokens, after a Last-Event-ID that is
+// negative or beyond the end.
+func TestStreamResumesAtValidEventOnly(t *testing.T) {
+	is := is.New(t)
+	f := request.NewFlight("c/k", nil, "a", true, time.Unix(100, 0), func() {})
+	f.Append("x")
+	f.Append("y")
+	f.Finish(request.Answer{Outcome: request.Completed, Finish: "stop"})
+	stream := func(after int) string {
+		rec := httptest.NewRecorder()
+		s := &Server{}
+		s.config.Limits.WriteStall = time.Second
+		s.streamEvents(rec, httptest.NewRequest("POST", "/v1/completions", nil), f, &openai.Request{Model: "m", IncludeUsage: true}, after)
+		return rec.Body.String()
+	}
+	is.Equal(stream(-5), stream(0))
+	is.True(strings.Contains(stream(-5), "id: 1\n"))
+	is.True(strings.Contains(stream(1), "id: 2\n") && !strings.Contains(stream(1), "id: 1\n"))
+	for _, after := range []int{2, 3, 1000} {
+		got := stream(after)
+		is.True(strings.Contains(got, "id: 3\n")) // the end of the stream
+		is.True(strings.Contains(got, `"completion_tokens":2`))
+	}
+}
+
 func BenchmarkWriteToken(b *testing.B) {
 	b.ReportAllocs()
 	e, _ := newTestWriter(true)
