catalog: find customers whose key hash is in upper case

key_sha256 is accepted in either case, but keys were looked up by the lower-case form only: such a customer was valid and every request of it unauthorized.

TestCustomerIsFoundByHashInAnyCase failed before.

--- a/src/catalog/snapshot.go
+++ b/src/catalog/snapshot.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"strings"
 	"time"
 
 	"github.com/crankridge/crankridge/src/ports"
@@ -49,10 +50,13 @@
 		s.Services[r.Name] = r
 	case KindCustomer:
 		s.Customers[r.Name] = r
-		s.byKeyHash[r.Customer.KeySHA256] = r.Name
+		s.byKeyHash[r.Customer.keyHash()] = r.Name
 	}
 }
 
+// keyHash returns the hash of the customer's key in the form of HashKey.
+func (c *Customer) keyHash() string { return strings.ToLower(c.KeySHA256) }
+
 // HashKey returns the hash under which a bearer key is stored.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
@@ -69,7 +73,7 @@
 	}
 	// byKeyHash may still hold the key of a customer that a later item of the same
 	// name has replaced.
-	same := subtle.ConstantTimeCompare([]byte(hash), []byte(c.Customer.KeySHA256)) == 1
+	same := subtle.ConstantTimeCompare([]byte(hash), []byte(c.Customer.keyHash())) == 1
 	return c, same
 }
 
