duty: revoke a lease that was not acquired although the call's time is up

abandon revoked with the context of the calls before it. If these had used up its time, the revocation failed unseen: the lease, and a key that a delayed write put under it, then kept the duties from all nodes for a lease more.

TestLeaseIsRevokedAfterCallTimeExpired failed before.

--- a/src/duty/term.go
+++ b/src/duty/term.go
@@ -168,10 +168,15 @@
 	klog.InfoS("duty_taken", "holder", l.holder, "fence", fence)
 }
 
-// abandon revokes a lease so that a delayed write under it cannot take effect.
+// abandon revokes a lease so that a delayed write under it cannot take effect. It does so
+// even if ctx has ended, as the calls before may have used up its time.
 func (l *Lease) abandon(ctx context.Context, id int64) {
 	l.reset("not acquired")
-	_ = l.store.Revoke(ctx, id)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), CallTimeout)
+	defer cancel()
+	if err := l.store.Revoke(ctx, id); err != nil {
+		klog.InfoS("duty_lease_left_to_expire", "holder", l.holder, "lease", id, "err", err)
+	}
 }
 
 func (l *Lease) reset(reason string) {
--- a/src/duty/term_test.go
+++ b/src/duty/term_test.go
@@ -108,8 +108,8 @@
 	return s.response()
 }
 
-func (s *memoryStore) Revoke(_ context.Context, id int64) error {
-	if s.down {
+func (s *memoryStore) Revoke(ctx context.Context, id int64) error {
+	if s.down || ctx.Err() != nil {
 		return errLost
 	}
 	s.removeLease(id)
@@ -208,3 +208,17 @@
 	is.True(ok)
 	is.Equal(term.Fence, store.revision)
 }
+
+// Guards against a lease that is kept, with a key that a delayed write may still put
+// under it, because the time for the calls before was used up.
+func TestLeaseIsRevokedAfterCallTimeExpired(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	l := NewLease(store, "duty", "a", testTTL, func() time.Time { return store.now })
+	id, err := store.Grant(context.Background(), testTTL)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	l.abandon(ctx, id)
+	is.Equal(len(store.leases), 0)
+}
