control: end the planner's epoch before revoking its lease

On release the lease was revoked first, so another process could hold it while this one still took its own epoch for current.

TestEpochEndsBeforeLeaseIsRevoked failed before.

--- a/src/control/planner_lease.go
+++ b/src/control/planner_lease.go
@@ -158,6 +158,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	_ = l.kv.Revoke(ctx, leaseID)
-	l.clear()
+	l.clear() // first: once the lease is revoked, another process may hold it
+	if err := l.kv.Revoke(ctx, leaseID); err != nil {
+		klog.InfoS("planner_lease_left_to_expire", "holder", l.name, "err", err)
+	}
 }
