settings: load before returning the settings

'return cfg, load(&cfg)' relies on an order of evaluation that the language leaves open; the compiler at hand happens to load first, as the tests of the settings show.

--- a/src/settings/control.go
+++ b/src/settings/control.go
@@ -49,7 +49,8 @@
 // LoadControl reads and validates a settings file of crank-control.
 func LoadControl(path string) (Control, error) {
 	cfg := DefaultControl()
-	return cfg, load(path, &cfg)
+	err := load(path, &cfg)
+	return cfg, err
 }
 
 func (c *Control) validate() error {
--- a/src/settings/standin.go
+++ b/src/settings/standin.go
@@ -88,7 +88,8 @@
 // LoadStandin reads and validates a settings file of crank-standin.
 func LoadStandin(path string) (Standin, error) {
 	var cfg Standin
-	return cfg, load(path, &cfg)
+	err := load(path, &cfg)
+	return cfg, err
 }
 
 func (s *Standin) validate() error {
