operator: report the deletion of nothing, and end retries with their caller

DELETE with If-Match: 0 of a resource that does not exist answered 200; it answers 404 now. Retries of a write slept on after their caller had left.

The tests need the new names and did not compile before.

--- a/src/operator/server.go
+++ b/src/operator/server.go
@@ -206,6 +206,8 @@
 	case err == nil:
 		w.Header().Set("ETag", etag(res.Version))
 		replyJSON(w, http.StatusOK, res)
+	case errors.Is(err, ErrNotFound):
+		replyJSON(w, http.StatusNotFound, Problem{Error: ErrNotFound.Error()})
 	case errors.Is(err, ErrConflict):
 		p := Problem{Error: "the resource is at another version", Hint: "read it, apply your change to what stands there, and send its version as If-Match"}
 		if res.Version > 0 {
--- a/src/operator/store.go
+++ b/src/operator/store.go
@@ -18,6 +18,7 @@
 
 // Errors of Store.Put and Store.Delete.
 var (
+	ErrNotFound         = errors.New("there is no such resource")
 	ErrConflict         = errors.New("the resource was changed by somebody else")
 	ErrOutcomeUnknown   = errors.New("whether the change took effect is not known")
 	ErrStoreUnavailable = errors.New("the change was not made: the key-value service is unavailable")
@@ -47,8 +48,8 @@
 	key := catalog.Key(r.Kind, r.Name)
 	writeSent := false
 	for attempt := range maxAttempts {
-		if attempt > 0 {
-			time.Sleep(request.Jitter(retryBackoff << attempt))
+		if !waitBeforeRetry(ctx, attempt) {
+			break
 		}
 		item, exists, _, err := s.kv.Get(ctx, key)
 		if err != nil {
@@ -90,17 +91,32 @@
 	return current, false, nil
 }
 
+// waitBeforeRetry waits before a further attempt, and not before the first. It returns
+// false if ctx ends first.
+func waitBeforeRetry(ctx context.Context, attempt int) bool {
+	if attempt == 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(request.Jitter(retryBackoff << attempt)):
+		return true
+	}
+}
+
 func trimChangeIDs(ids []string) []string { return ids[max(len(ids)-maxStoredChangeIDs, 0):] }
 
 // Delete removes a resource if its current version is version. The returned
 // resource has only its kind, its name and the revision of the deletion as its
-// version, or is the current one along with ErrConflict.
+// version, or is the current one along with ErrConflict. Version 0 stands for a resource
+// that does not exist, for which the error is ErrNotFound.
 func (s *Store) Delete(ctx context.Context, kind catalog.Kind, name string, version int64) (catalog.Resource, error) {
 	key := catalog.Key(kind, name)
 	writeSent := false
 	for attempt := range maxAttempts {
-		if attempt > 0 {
-			time.Sleep(request.Jitter(retryBackoff << attempt))
+		if !waitBeforeRetry(ctx, attempt) {
+			break
 		}
 		item, exists, rev, err := s.kv.Get(ctx, key)
 		switch {
@@ -111,6 +127,9 @@
 		case !exists && writeSent:
 			return catalog.Resource{Kind: kind, Name: name, Version: rev}, s.waitForView(ctx, rev, nil)
 		}
+		if !exists && version == 0 {
+			return catalog.Resource{}, oops.Wrap(ErrNotFound)
+		}
 		current, _, err := compareStored(item, exists, version, "")
 		if err != nil {
 			return current, err
