quarantine: bound the reports of suspected requests by their crashes

A record named up to 12 requests with 8 crashes each, 5 KB that are exchanged twice a second or more; control has 4 KB a second a node. It holds 24 crashes in all now, a summary 8 requests. TestReportIsBounded failed before.

--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -17,7 +17,7 @@
 	maxHeavyServers    = 64                    // servers listed individually
 	maxClientAddresses = 32                    // in one summary
 	clientAddressTTL   = 3 * time.Second       // age up to which an address from a summary is used
-	maxSuspects        = 16                    // in one summary
+	maxSuspects        = 8                     // in one summary
 	maxLimits          = 32                    // in one summary
 )
 
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -17,10 +17,10 @@
 
 // Limits of the exchange of suspected requests with peers and the store.
 const (
-	quarantinePrefix    = ownPrefix + "quarantine/" // followed by the digest; the values are quarantine.State
-	maxReportedSuspects = 12                        // in this node's record
-	maxStoreWrites      = 8                         // per step
-	quarantineTimeout   = 300 * time.Millisecond    // of one write
+	quarantinePrefix   = ownPrefix + "quarantine/" // followed by the digest; the values are quarantine.State
+	maxReportedCharges = 24                        // in this node's record
+	maxStoreWrites     = 8                         // per step
+	quarantineTimeout  = 300 * time.Millisecond    // of one write
 )
 
 // checkQuarantine refuses a request that crashes servers. A trial of a quarantined
@@ -200,7 +200,7 @@
 // reportSuspects returns the suspected requests for this node's record.
 func (n *Node) reportSuspects() []*cluster.Suspect {
 	var out []*cluster.Suspect
-	for _, state := range n.quarantine.Report(maxReportedSuspects) {
+	for _, state := range n.quarantine.Report(maxReportedCharges) {
 		suspect := &cluster.Suspect{Digest: state.Digest[:]}
 		if !state.ClearedThrough.IsZero() {
 			suspect.ClearedThroughMs = state.ClearedThrough.UnixMilli()
--- a/src/quarantine/list.go
+++ b/src/quarantine/list.go
@@ -153,10 +153,10 @@
 	}
 }
 
-// Report returns what to tell other nodes, at most limit states: recent observations
-// of this node, and all that belongs in the store but isn't known to be there. Those
-// with the most charges come first.
-func (l *List) Report(limit int) []State {
+// Report returns what to tell other nodes, with at most maxCharges charges in all: recent
+// observations of this node, and what belongs in the store but isn't known to be there.
+// Those with the most charges come first.
+func (l *List) Report(maxCharges int) []State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.forgetCleared()
@@ -170,7 +170,11 @@
 		return cmp.Or(cmp.Compare(len(b.state.open()), len(a.state.open())), b.changedAt.Compare(a.changedAt))
 	})
 	var out []State
-	for _, s := range list[:min(len(list), limit)] {
+	for _, s := range list {
+		maxCharges -= len(s.state.Charges)
+		if maxCharges < 0 {
+			break
+		}
 		out = append(out, s.state)
 	}
 	return out
