quarantine: keep the time of a completion in the precision of the store

It was kept to the nanosecond and stored to the millisecond, so a state that was stored always seemed to lack something, and was written again at each step. TestStoredStateIsNotWrittenAgain failed before.

--- a/src/quarantine/list.go
+++ b/src/quarantine/list.go
@@ -48,6 +48,7 @@
 func (l *List) Complete(d Digest, at time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	at = at.Truncate(time.Millisecond) // the precision of the exchange and the store
 	l.completed.record(d, at)
 	s := l.suspects[d]
 	if s == nil || len(s.state.open()) == 0 {
--- a/src/quarantine/list_test.go
+++ b/src/quarantine/list_test.go
@@ -194,6 +194,25 @@
 	is.Equal(l.Standing(d), Standing{})
 }
 
+// Guards against a state being written to the store again and again because the stored
+// form is less precise.
+func TestStoredStateIsNotWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	l, _ := testList()
+	d := testDigest("one", "sound")
+	l.Charge(d, crashAt("a", 1.0000001))
+	l.Charge(d, crashAt("b", 2.0000001))
+	l.Complete(d, testStart.Add(3*time.Second+123456*time.Nanosecond))
+	l.Charge(d, crashAt("c", 4.0000001))
+	l.Charge(d, crashAt("d", 5.0000001))
+	pending := l.Unstored(8)
+	is.Equal(len(pending), 1)
+	stored, err := DecodeState(d, pending[0].State.Encode())
+	is.NoErr(err)
+	l.ApplyStored([]Stored{{stored, 7}}, 7)
+	is.Equal(len(l.Unstored(8)), 0)
+}
+
 // Guards against reports that grow with the number of crashes: they are exchanged twice
 // a second.
 func TestReportIsBounded(t *testing.T) {
