--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -232,3 +232,42 @@
 	})
 	is.Equal(len(b.store.Keys("crankridge/quarantine/")), 0)
 }
+
+// Guards against a request being refused for good although the servers run it by now: it
+// is tried once, by one node, some time after the last crash.
+func TestQuarantineEndsWithSuccessfulTrial(t *testing.T) {
+	is := is.New(t)
+	b := newCrashBed(t, 6)
+	nodes := b.startNodes(2)
+	b.quarantine(nodes)
+	b.eventually("stored", func() bool { return len(b.store.Keys("crankridge/quarantine/")) == 1 })
+	before := b.crashes()
+	for _, s := range b.servers {
+		s.CrashOn("", 0, func() {})
+	}
+	start := time.Now()
+	refused := 0
+	for i := 0; ; i++ {
+		got := nodes[i%2].send(gatewayRequest{method: http.MethodPost, path: "/once/x", id: fmt.Sprint("later-", i), body: crashBody})
+		if got.status == http.StatusOK {
+			break
+		}
+		is.Equal(got.body, "crashes_servers\n")
+		refused++
+		is.True(time.Since(start) < 15*time.Second)
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.True(time.Since(start) > 8*time.Second) // not at once
+	is.True(refused > 50)
+	is.Equal(b.crashes(), before)
+	b.eventually("the other node serves it as well", func() bool {
+		ok := 0
+		for i, n := range nodes {
+			got := n.send(gatewayRequest{method: http.MethodPost, path: "/once/x", id: fmt.Sprint("served-", i, time.Now().UnixNano()), body: crashBody})
+			if got.status == http.StatusOK {
+				ok++
+			}
+		}
+		return ok == len(nodes)
+	})
+}
