--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -70,6 +70,7 @@
 // Guards against BUDGET of issue 25: a request under which three servers had crashed was
 // sent again with each attempt of its client, at any node.
 func TestRequestThatCrashesServersIsNotSentAgain(t *testing.T) {
+	t.Parallel() // mostly waits
 	for _, route := range []string{"/once/x", "/repeat/x", "/resume/x"} {
 		t.Run(route[1:len(route)-2], func(t *testing.T) {
 			t.Parallel()
@@ -102,6 +103,7 @@
 // Guards against sound requests being condemned for running beside one that crashes
 // servers: they must be served while it is sent and afterwards.
 func TestRequestsBesideOneThatCrashesServersAreServed(t *testing.T) {
+	t.Parallel() // mostly waits
 	is := is.New(t)
 	b := newCrashBed(t, 8)
 	var nodes []*gatewayNode
@@ -188,6 +190,7 @@
 // Guards against a request being sent again because the store does not answer when it
 // crashes its servers.
 func TestQuarantineSpreadsWithoutStore(t *testing.T) {
+	t.Parallel() // mostly waits
 	is := is.New(t)
 	b := newCrashBed(t, 8)
 	var nodes []*gatewayNode
@@ -236,6 +239,7 @@
 // Guards against a request being refused for good although the servers run it by now: it
 // is tried once, by one node, some time after the last crash.
 func TestQuarantineEndsWithSuccessfulTrial(t *testing.T) {
+	t.Parallel() // mostly waits
 	is := is.New(t)
 	b := newCrashBed(t, 6)
 	nodes := b.startNodes(2)
--- a/test/server_limit_test.go
+++ b/test/server_limit_test.go
@@ -102,6 +102,7 @@
 // Guards against LIMIT of issue 25: a server that named a limit got its usual share of
 // the requests of all nodes.
 func TestServerLimitHoldsOverAllNodes(t *testing.T) {
+	t.Parallel() // mostly waits
 	for _, limit := range []float64{0, 0.5, 1, 6.5} {
 		t.Run(fmt.Sprint(limit), func(t *testing.T) {
 			t.Parallel()
@@ -158,6 +159,7 @@
 // Guards against a limit that never ends, as a server that gets nothing cannot say so,
 // and against one that a restarted server has not named.
 func TestServerLimitEnds(t *testing.T) {
+	t.Parallel() // mostly waits
 	b := newGatewayTestbed(t)
 	limited := b.startServer("i-1")
 	b.startServer("i-2")
