quarantine: a verdict does not rest on crashes that are dropped

Seen by the soak (20 nodes): the request that crashes servers was quarantined at all nodes and sent again 10 s later by many, 13 crashes after the faults. Eight crashes were kept, the latest; of many copies that ran at once, which count as one crash, the latest pushed out the earlier ones that the verdict rested on.

64 crashes are kept, and beyond that one that does not count is dropped first. TestFurtherCrashesDoNotLiftQuarantine failed before.

--- a/src/quarantine/judge.go
+++ b/src/quarantine/judge.go
@@ -16,10 +16,11 @@
 	crashesToIsolate       = 2                // after which a request runs at the quietest server
 	trialDelay             = 10 * time.Second // from the last crash until a quarantined request may be tried again
 	maxTrials              = 2
-	maxSuspects            = 2048             // at a node
-	reportPeriod           = 15 * time.Second // for which a node reports what it saw
-	clearedPeriod          = 4 * reportPeriod // until a cleared request is forgotten
-	storedAfterCrashes     = 2                // after which a request is kept in the store
+	maxSuspects            = 2048                   // at a node
+	chargesPerReport       = crashesAfterCompletion // of one request: as many as any verdict needs
+	reportPeriod           = 15 * time.Second       // for which a node reports what it saw
+	clearedPeriod          = 4 * reportPeriod       // until a cleared request is forgotten
+	storedAfterCrashes     = 2                      // after which a request is kept in the store
 )
 
 // Standing is how a request is to be treated.
@@ -117,14 +118,17 @@
 
 // distinct counts charges, sorted by time, without those to servers that had the
 // request when the crash counted before happened: these may have a common cause.
-func distinct(charges []Charge) int {
-	count := 0
+func distinct(charges []Charge) int { return len(distinctIndexes(charges)) }
+
+// distinctIndexes returns the indexes of the charges that distinct counts.
+func distinctIndexes(charges []Charge) []int {
+	var counted []int
 	var last time.Time
-	for _, c := range charges {
-		if count == 0 || !c.SentAt.Before(last) {
-			count++
+	for i, c := range charges {
+		if len(counted) == 0 || !c.SentAt.Before(last) {
+			counted = append(counted, i)
 			last = c.At
 		}
 	}
-	return count
+	return counted
 }
--- a/src/quarantine/list.go
+++ b/src/quarantine/list.go
@@ -172,11 +172,12 @@
 	})
 	var out []State
 	for _, s := range list {
-		maxCharges -= len(s.state.Charges)
+		brief := s.state.brief(chargesPerReport)
+		maxCharges -= len(brief.Charges)
 		if maxCharges < 0 {
 			break
 		}
-		out = append(out, s.state)
+		out = append(out, brief)
 	}
 	return out
 }
--- a/src/quarantine/list_test.go
+++ b/src/quarantine/list_test.go
@@ -68,6 +68,29 @@
 	is.Equal(l.Standing(sound), Standing{})
 }
 
+// Guards against a verdict that is lifted by more crashes: of many that happen at once,
+// the latest pushed out those that had led to it.
+func TestFurtherCrashesDoNotLiftQuarantine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, _ := testList()
+		d := testDigest("one", "bad")
+		before := Standing{}
+		for i := range rapid.IntRange(3, 40).Draw(t, "crashes") {
+			sent := rapid.IntRange(0, 80).Draw(t, "sent")
+			c := crashAt(fmt.Sprint("s-", i), float64(sent+rapid.IntRange(1, 40).Draw(t, "duration"))/10)
+			c.SentAt = testStart.Add(time.Duration(sent) * 100 * time.Millisecond)
+			after := l.Charge(d, c)
+			if before.Quarantined && !after.Quarantined {
+				t.Fatalf("%+v became %+v with %+v", before, after, l.Get(d))
+			}
+			before = after
+		}
+		if len(l.Get(d).Charges) > maxCharges {
+			t.Fatalf("%d charges are kept", len(l.Get(d).Charges))
+		}
+	})
+}
+
 func TestCompletionClearsRequest(t *testing.T) {
 	is := is.New(t)
 	l, now := testList()
--- a/src/quarantine/state.go
+++ b/src/quarantine/state.go
@@ -34,7 +34,7 @@
 }
 
 // maxCharges bounds the charges kept for one request.
-const maxCharges = 8
+const maxCharges = 64
 
 // merge adds what other says and reports whether anything changed. Merging is
 // commutative and idempotent, so the order of messages doesn't matter.
@@ -55,20 +55,53 @@
 	return changed
 }
 
-// charge adds a charge unless it is known, and keeps the latest maxCharges.
-func (s *State) charge(c Charge) (added bool) {
+// charge adds a charge unless it is known or not needed. It reports whether the charges
+// changed.
+func (s *State) charge(c Charge) (changed bool) {
 	if slices.ContainsFunc(s.Charges, c.sameCrash) {
 		return false
 	}
-	if len(s.Charges) >= maxCharges && c.At.Before(s.Charges[0].At) {
-		return false
+	all := append(slices.Clone(s.Charges), c)
+	slices.SortStableFunc(all, func(a, b Charge) int { return a.At.Compare(b.At) })
+	if len(all) > maxCharges {
+		i := s.leastNeeded(all)
+		if all[i] == c {
+			return false
+		}
+		all = slices.Delete(all, i, i+1)
 	}
-	s.Charges = append(slices.Clone(s.Charges), c)
-	slices.SortStableFunc(s.Charges, func(a, b Charge) int { return a.At.Compare(b.At) })
-	s.Charges = s.Charges[max(len(s.Charges)-maxCharges, 0):]
+	s.Charges = all
 	return true
 }
 
+// leastNeeded returns the index of the charge that may be dropped: the oldest one before
+// the last completion, else the latest one that doesn't count (see distinct), else the
+// oldest. So a verdict never rests on charges that were dropped.
+func (s *State) leastNeeded(sorted []Charge) int {
+	if !sorted[0].At.After(s.ClearedThrough) {
+		return 0
+	}
+	counted := distinctIndexes(sorted)
+	for i := len(sorted) - 1; i >= 0; i-- {
+		if !slices.Contains(counted, i) {
+			return i
+		}
+	}
+	return 0
+}
+
+// brief returns the state with at most limit charges, for a report: those that count (see
+// distinct), latest first.
+func (s *State) brief(limit int) State {
+	out := State{Digest: s.Digest, ClearedThrough: s.ClearedThrough, Trials: s.Trials}
+	open := s.open()
+	counted := distinctIndexes(open)
+	for _, i := range counted[max(len(counted)-limit, 0):] {
+		out.Charges = append(out.Charges, open[i])
+	}
+	return out
+}
+
 // open returns the charges since the request last completed.
 func (s *State) open() []Charge {
 	for i, c := range s.Charges {
