gateway: take note of limits in rejections

A server that names its limit only in responses that reject a request was not heard. Such a response may name a limit; that it names none does not end one. TestLimitInRejectionsHolds failed before.

--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -88,6 +88,9 @@
 	case id != "" && id != req.id:
 		err = errResponseMismatch
 	case declined:
+		if resp.StatusCode != http.StatusMisdirectedRequest && len(resp.Header.Values(n.headers.ServerLimit)) > 0 {
+			n.recordLimit(s, resp.Header, sentAt) // a full server may name a limit; that it names none here ends none
+		}
 		// Drain the body so that the connection can be reused.
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
 		_ = resp.Body.Close()
--- a/test/server_limit_test.go
+++ b/test/server_limit_test.go
@@ -156,6 +156,24 @@
 	is.Equal(load.other.Load(), int64(0))
 }
 
+// Guards against missing a limit that a server names only while it rejects requests.
+func TestLimitInRejectionsHolds(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	b := newGatewayTestbed(t)
+	limited := b.startServer("i-limited")
+	b.startServer("i-2")
+	nodes := b.startNodes(3)
+	load := startLoad(nodes, 20*time.Millisecond)
+	limited.SetLimit("1")
+	limited.SetBehavior(fake.Full)
+	from := time.Now().Add(contactTimeout)
+	time.Sleep(contactTimeout + limitWindow)
+	load.finish()
+	is.True(mostInWindow(limited.Arrivals(), from) <= 11)
+	is.Equal(load.other.Load(), int64(0))
+}
+
 // Guards against a limit that never ends, as a server that gets nothing cannot say so,
 // and against one that a restarted server has not named.
 func TestServerLimitEnds(t *testing.T) {
