gateway: share a crash check for 100 ms only

A check that found a server running was shared with requests that ended there up to 500 ms later; a crash in between was found by the server's later start only, seconds later. Found by reading; the checks themselves are the same.

--- a/src/gateway/crash.go
+++ b/src/gateway/crash.go
@@ -20,7 +20,7 @@
 	crashWait          = 100 * time.Millisecond // for which a resend waits for the check
 	crashPollInterval  = 200 * time.Millisecond // while a server may be back later
 	crashPollPeriod    = 8 * time.Second
-	crashCheckInterval = 500 * time.Millisecond // between two checks of one server
+	crashCheckInterval = 100 * time.Millisecond // for which requests that end at one server share a check
 	stalledResponse    = time.Second            // without progress, after which an abandoned response is checked as well
 )
 
