gateway: explain a refusal for crashes also after the first choice of a server

A request that was quarantined between its arrival and its first send was refused without the digest and the servers that crankctl explain needs. Found by reading.

--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -58,7 +58,11 @@
 	for {
 		standing := n.standing(req)
 		if standing.Quarantined && req.trialVersion == "" {
-			return f.finish(ctx, codeCrashesServers, 0)
+			refused := f.finish(ctx, codeCrashesServers, 0)
+			if refused != nil && refused.code == codeCrashesServers {
+				return n.quarantineRefusal(req)
+			}
+			return refused
 		}
 		picked := n.chooseServer(req, standing, f.excluded)
 		s := picked.server
