gateway, clock, test: one copy of the poll loop and of the testbed's start of nodes

From reading the diff: clock polls by process.Every as other loops do, the end of a request that became quarantined has a function of its own, and tests share startNodes. No change of behaviour.

--- a/src/clock/clock.go
+++ b/src/clock/clock.go
@@ -14,10 +14,12 @@
 	"k8s.io/klog/v2"
 )
 
-const (
-	pollInterval  = 100 * time.Millisecond
-	minSuspension = 20 * time.Millisecond // shorter differences come from reading two clocks in turn
-)
+// PollInterval is how often Poll must be called.
+const PollInterval = 100 * time.Millisecond
+
+// minSuspension is the shortest suspension that is counted: smaller differences come from
+// reading two clocks in turn.
+const minSuspension = 20 * time.Millisecond
 
 // Clock is a steady clock.
 type Clock struct {
@@ -107,7 +109,7 @@
 }
 
 // Now returns the current time. It may miss a suspension that ended less than
-// pollInterval ago; Exact does not.
+// PollInterval ago; Exact does not.
 func Now() time.Time { return system.now() }
 
 // Exact returns the current time at the cost of two system calls. Use it before acting
@@ -133,16 +135,5 @@
 	system.mu.Unlock()
 }
 
-// Run detects suspensions until ctx is canceled.
-func Run(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			system.poll()
-		}
-	}
-}
+// Poll detects a suspension that has ended. It must be called once per PollInterval.
+func Poll() { system.poll() }
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -58,11 +58,7 @@
 	for {
 		standing := n.standing(req)
 		if standing.Quarantined && req.trialVersion == "" {
-			refused := f.finish(ctx, codeCrashesServers, 0)
-			if refused != nil && refused.code == codeCrashesServers {
-				return n.quarantineRefusal(req)
-			}
-			return refused
+			return f.finishQuarantined(ctx)
 		}
 		picked := n.chooseServer(req, standing, f.excluded)
 		s := picked.server
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -168,7 +168,7 @@
 	if err := n.listen(); err != nil {
 		return err
 	}
-	go clock.Run(background)
+	go process.Every(background, clock.PollInterval, clock.Poll)
 	clock.OnResume(func(time.Duration) { n.upstreams.closeIdleConnections() }) // the servers may have closed them
 	klog.InfoS("started", "node", n.initial.Node, "callers", n.initial.Listen.Callers)
 	go n.view.Follow(background, hubAwareStore{n.store, n.receivesHubUpdates}, "")
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -46,6 +46,15 @@
 		logValues: []any{"digest", state.Digest, "crashes", len(servers), "servers", strings.Join(servers, ","), "trials", len(state.Trials)}}
 }
 
+// finishQuarantined ends a request that has become quarantined since it arrived.
+func (f *forwarder) finishQuarantined(ctx context.Context) *refusal {
+	refused := f.finish(ctx, codeCrashesServers, 0)
+	if refused != nil && refused.code == codeCrashesServers {
+		return f.node.quarantineRefusal(f.req)
+	}
+	return refused
+}
+
 // claimTrial reports whether this node may send a quarantined request once more. The
 // store decides, so that no two nodes try the same request.
 func (n *Node) claimTrial(req *clientRequest) bool {
--- a/test/gateway_testbed_test.go
+++ b/test/gateway_testbed_test.go
@@ -135,6 +135,27 @@
 	return n
 }
 
+// startNodes starts nodes that know each other, and waits until they serve.
+func (b *gatewayTestbed) startNodes(count int) []*gatewayNode {
+	var nodes []*gatewayNode
+	for range count {
+		nodes = append(nodes, b.startNode(b.store.Address(), nodeAddresses(nodes)...))
+	}
+	for i, n := range nodes {
+		b.waitServing(n, fmt.Sprint("p", i))
+	}
+	return nodes
+}
+
+// nodeAddresses returns the addresses at which other nodes reach the given ones.
+func nodeAddresses(nodes []*gatewayNode) []string {
+	var out []string
+	for _, n := range nodes {
+		out = append(out, n.settings.Listen.Peers)
+	}
+	return out
+}
+
 func (b *gatewayTestbed) eventually(what string, ok func() bool) {
 	b.t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -76,13 +76,7 @@
 			t.Parallel()
 			is := is.New(t)
 			b := newCrashBed(t, 8)
-			var nodes []*gatewayNode
-			for range 4 {
-				nodes = append(nodes, b.startNode(b.store.Address(), nodeAddresses(nodes)...))
-			}
-			for i, n := range nodes {
-				b.waitServing(n, fmt.Sprint("p", i))
-			}
+			nodes := b.startNodes(4)
 			late := b.sendCrashing(route, nodes, crashTestLength)
 			t.Logf("%d crashes, %d of them late", b.crashes(), late)
 			is.True(late <= retriesAfter)
@@ -91,28 +85,13 @@
 	}
 }
 
-// nodeAddresses returns the addresses at which other nodes reach the given ones.
-func nodeAddresses(nodes []*gatewayNode) []string {
-	var out []string
-	for _, n := range nodes {
-		out = append(out, n.settings.Listen.Peers)
-	}
-	return out
-}
-
 // Guards against sound requests being condemned for running beside one that crashes
 // servers: they must be served while it is sent and afterwards.
 func TestRequestsBesideOneThatCrashesServersAreServed(t *testing.T) {
 	t.Parallel() // mostly waits
 	is := is.New(t)
 	b := newCrashBed(t, 8)
-	var nodes []*gatewayNode
-	for range 3 {
-		nodes = append(nodes, b.startNode(b.store.Address(), nodeAddresses(nodes)...))
-	}
-	for i, n := range nodes {
-		b.waitServing(n, fmt.Sprint("p", i))
-	}
+	nodes := b.startNodes(3)
 	stop := make(chan struct{})
 	var sent, quarantined atomic.Int64
 	var group sync.WaitGroup
@@ -193,13 +172,7 @@
 	t.Parallel() // mostly waits
 	is := is.New(t)
 	b := newCrashBed(t, 8)
-	var nodes []*gatewayNode
-	for range 3 {
-		nodes = append(nodes, b.startNode(b.store.Address(), nodeAddresses(nodes)...))
-	}
-	for i, n := range nodes {
-		b.waitServing(n, fmt.Sprint("p", i))
-	}
+	nodes := b.startNodes(3)
 	b.store.SetFaults(fake.Faults{Unresponsive: true})
 	late := b.sendCrashing("/once/x", nodes, 5*time.Second)
 	t.Logf("%d crashes, %d of them late", b.crashes(), late)
--- a/test/server_limit_test.go
+++ b/test/server_limit_test.go
@@ -88,17 +88,6 @@
 	l.group.Wait()
 }
 
-func (b *gatewayTestbed) startNodes(count int) []*gatewayNode {
-	var nodes []*gatewayNode
-	for range count {
-		nodes = append(nodes, b.startNode(b.store.Address(), nodeAddresses(nodes)...))
-	}
-	for i, n := range nodes {
-		b.waitServing(n, fmt.Sprint("p", i))
-	}
-	return nodes
-}
-
 // Guards against LIMIT of issue 25: a server that named a limit got its usual share of
 // the requests of all nodes.
 func TestServerLimitHoldsOverAllNodes(t *testing.T) {
