cluster: a summary combines the reports about each suspected request

Each node that knows of a suspected request reports it; a hub passed on the eight longest reports, so one request that 20 nodes report filled a summary, and crashes that only one node saw were lost with the others. Found by reading. TestSummaryCombinesReportsOfSuspects failed before.

--- a/src/cluster/hub_test.go
+++ b/src/cluster/hub_test.go
@@ -177,3 +177,21 @@
 	c.entries = append(c.entries, Entry{"one-more", "d0", ""})
 	is.True(c.nodes[0].UsesHubs())
 }
+
+// Guards against one suspect, which many nodes report, filling a summary, and against
+// losing the crashes that only one of them saw.
+func TestSummaryCombinesReportsOfSuspects(t *testing.T) {
+	is := is.New(t)
+	m := NewMembers("hub", time.Now)
+	for i := range 20 {
+		m.Merge(&Record{Node: fmt.Sprint("n-", i), Sequence: 1, Suspects: []*Suspect{
+			{Digest: []byte("all"), Crashes: []*Crash{{Server: "s", AtMs: 5}, {Server: fmt.Sprint("s-", i%3), AtMs: 9}}},
+			{Digest: []byte{byte(i % 5)}, ClearedThroughMs: int64(i), Crashes: []*Crash{{Server: "t", AtMs: 7}}},
+		}})
+	}
+	got := m.Summarize("n-0", time.Now()).Suspects
+	is.Equal(len(got), 6)
+	is.Equal(string(got[0].Digest), "all")
+	is.Equal(len(got[0].Crashes), 4)
+	is.Equal(got[1].ClearedThroughMs, int64(15))
+}
--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -1,12 +1,15 @@
 package cluster
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // Limits of summaries.
@@ -154,12 +157,35 @@
 		}
 	}
 	out.heavy, out.meanRequests, out.meanPendingPrefill = heaviest(loads)
-	slices.SortFunc(out.suspects, func(a, b *Suspect) int { return cmp.Compare(len(b.Crashes), len(a.Crashes)) })
-	out.suspects = out.suspects[:min(len(out.suspects), maxSuspects)]
+	out.suspects = mostCrashes(out.suspects)
 	out.limits = latestLimits(out.limits)
 	return out
 }
 
+// mostCrashes combines the reports about each suspect, and returns the at most maxSuspects
+// with the most crashes.
+func mostCrashes(list []*Suspect) []*Suspect {
+	byDigest := map[string]*Suspect{}
+	for _, s := range list {
+		known := byDigest[string(s.Digest)]
+		if known == nil {
+			known = &Suspect{Digest: s.Digest}
+			byDigest[string(s.Digest)] = known
+		}
+		known.ClearedThroughMs = max(known.ClearedThroughMs, s.ClearedThroughMs)
+		for _, c := range s.Crashes {
+			if !slices.ContainsFunc(known.Crashes, func(o *Crash) bool { return proto.Equal(o, c) }) {
+				known.Crashes = append(known.Crashes, c)
+			}
+		}
+	}
+	out := slices.Collect(maps.Values(byDigest))
+	slices.SortFunc(out, func(a, b *Suspect) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), bytes.Compare(a.Digest, b.Digest))
+	})
+	return out[:min(len(out), maxSuspects)]
+}
+
 // latestLimits returns the latest report about each server, at most maxLimits, those
 // that name a limit first.
 func latestLimits(list []*ServerLimit) []*ServerLimit {
