test: nodes of the testbed listen outside the range of ephemeral ports

A node was not ready within 10 s once, while several tests and soaks ran at once: its port was taken between its choice and its use, which only Run reports. The testbed of processes chooses its ports elsewhere since that happened there; nodes in the test process do so now.

--- a/test/gateway_testbed_test.go
+++ b/test/gateway_testbed_test.go
@@ -106,7 +106,7 @@
 func (b *gatewayTestbed) startNamedNode(name string, first bool, storeAddress string, seeds ...string) *gatewayNode {
 	text := fmt.Sprintf("NodeName=%s\nZone=zone-1\nRegion=here\nFirstStart=%t\nSeedNodes=%s\n", name, first, strings.Join(seeds, ","))
 	for _, name := range []string{"Front", "Ready", "Control", "Directory"} {
-		text += "ListenAddresses." + name + "=" + ephemeralAddr(b.t) + "\n"
+		text += "ListenAddresses." + name + "=" + freeAddr(b.t) + "\n"
 	}
 	text += "PlatformSettings.Address=" + storeAddress + "\nCloudApi.Address=" + b.cloud.Address() + "\nCloudApi.Duties=" + b.duties + "\n" +
 		"Bounds.GracePeriodS=2\nBounds.LeaseMs=1000\nBounds.UsageWindowS=1\nBounds.UsageLateS=10\nBounds.BudgetWindowS=10\n" + b.retries
