quarantine: a node that has just started condemns no request by itself

For its first 2 s a node applies only what is in the store. TestStartingNodeCondemnsNoRequestByItself failed before.

--- a/src/quarantine/judge.go
+++ b/src/quarantine/judge.go
@@ -14,6 +14,7 @@
 	spanAfterCompletion    = 5 * time.Second  // without a completion, in which these crashes must lie: popular requests complete all the time
 	maxCrashes             = 4                // explained or not
 	crashesToIsolate       = 2                // after which a request runs at the quietest server
+	learningPeriod         = 2 * time.Second  // after the start of a node, in which it hears of completions
 	trialDelay             = 10 * time.Second // from the last crash until a quarantined request may be tried again
 	maxTrials              = 2
 	maxSuspects            = 2048                   // at a node
--- a/src/quarantine/list.go
+++ b/src/quarantine/list.go
@@ -11,6 +11,7 @@
 // List holds the suspected requests that a node knows of.
 type List struct {
 	now       func() time.Time // steady time of this process
+	startedAt time.Time
 	active    atomic.Bool
 	mu        sync.Mutex
 	suspects  map[Digest]*suspect
@@ -29,7 +30,7 @@
 
 // NewList returns an empty list.
 func NewList(now func() time.Time) *List {
-	return &List{now: now, suspects: map[Digest]*suspect{}}
+	return &List{now: now, startedAt: now(), suspects: map[Digest]*suspect{}}
 }
 
 // Active reports whether any request is suspected.
@@ -65,14 +66,21 @@
 	return l.standing(d)
 }
 
+// standing judges if anything has changed. A node that has just started has not heard yet
+// what completed at other nodes, so it condemns no request by itself.
 func (l *List) standing(d Digest) Standing {
-	if l.suspects[d] == nil {
+	s := l.suspects[d]
+	if s == nil {
 		return Standing{}
 	}
 	if l.standings == nil {
 		l.standings = judge(l.suspects)
 	}
-	return l.standings[d]
+	standing := l.standings[d]
+	if s.revision == 0 && l.now().Sub(l.startedAt) < learningPeriod {
+		standing.Quarantined = false
+	}
+	return standing
 }
 
 // Get returns what is known of a request.
--- a/src/quarantine/list_test.go
+++ b/src/quarantine/list_test.go
@@ -26,8 +26,10 @@
 
 // testList returns a list and its clock.
 func testList() (*List, *time.Time) {
-	now := testStart
-	return NewList(func() time.Time { return now }), &now
+	now := testStart.Add(-learningPeriod)
+	l := NewList(func() time.Time { return now })
+	now = testStart
+	return l, &now
 }
 
 // Guards against BUDGET of issue 25: a request under which three servers had crashed.
@@ -53,6 +55,25 @@
 	}
 }
 
+// Guards against a popular request being refused by a node that has just started, and
+// knows of the crashes beside it but not that it completes.
+func TestStartingNodeCondemnsNoRequestByItself(t *testing.T) {
+	is := is.New(t)
+	now := testStart
+	l := NewList(func() time.Time { return now })
+	popular, bad := testDigest("one", "popular"), testDigest("one", "bad")
+	for i := range 3 {
+		l.Charge(popular, crashAt(fmt.Sprint("s-", i), float64(i)))
+		l.Charge(bad, crashAt(fmt.Sprint("t-", i), float64(i)))
+	}
+	is.True(!l.Standing(popular).Quarantined)
+	l.ApplyStored([]Stored{{l.Get(bad), 7}}, 7)
+	is.True(l.Standing(bad).Quarantined) // others have condemned it
+	l.Merge([]State{{Digest: popular, ClearedThrough: testStart.Add(5 * time.Second)}})
+	now = now.Add(learningPeriod)
+	is.True(!l.Standing(popular).Quarantined)
+}
+
 // Guards against condemning a request for the crashes of another one beside it.
 func TestCrashesExplainedByAnotherRequestDoNotCount(t *testing.T) {
 	is := is.New(t)
