--- a/src/ctl/trace_test.go
+++ b/src/ctl/trace_test.go
@@ -79,6 +79,15 @@
 	is.True(strings.Contains(trace.conclusion, "digest 00ff"))
 }
 
+func TestTraceOfRequestBeyondServerLimits(t *testing.T) {
+	is := is.New(t)
+	trace := traceOf(t, "r1", map[string][]string{"node-1": {
+		formatLine(2, "refused", `id="r1" status=503 code="servers_limited" wait_ms=750 version=7`),
+	}})
+	is.True(strings.Contains(trace.conclusion, "named a limit"))
+	is.True(strings.Contains(trace.conclusion, "750 ms"))
+}
+
 func TestTraceOfUnloggedRequest(t *testing.T) {
 	is := is.New(t)
 	trace := traceOf(t, "r1", map[string][]string{"node-1": {"not a klog line", formatLine(1, "refused", `id="r10" status=429 code="quota"`)}})
