quarantine: plain names in place of those of a court

Accusations, charges, guilt and verdicts read as riddles: they are evidence, crashes, and the decision to quarantine now. Two tests have other names for the same reason (TestStartingNodeQuarantinesNoRequestByItself, TestRequestThatCompletesIsNotQuarantinedForCrashesBesideIt); no assertion changed. No change of behaviour.

--- a/src/admit/upstream_limit.go
+++ b/src/admit/upstream_limit.go
@@ -20,8 +20,8 @@
 	// together send at once: upstreamBurstSeconds of the limit, plus upstreamBurstExtra.
 	upstreamBurstSeconds = 2.0
 	upstreamBurstExtra   = 3.0
-	// minOwnerBurst is the least burst of an owner. Of 1 request in it, the rest is the
-	// reserve for the more urgent.
+	// minOwnerBurst is the least burst of an owner: one request, and the reserve that less
+	// urgent requests must leave.
 	minOwnerBurst       = 2.0
 	ownerBurstSeconds   = 1.0  // an owner's burst, in seconds of its share, if above minOwnerBurst
 	urgencyReserve      = 0.25 // requests that each step to a lower priority must leave
--- a/src/gateway/crash_test.go
+++ b/src/gateway/crash_test.go
@@ -90,18 +90,18 @@
 	check.crashed.Store(true)
 	list := quarantine.NewList(time.Now)
 	digest := quarantine.NewDigest("c", "GET", "h", "/", nil)
-	charges := 0
+	crashes := 0
 	for _, failedAt := range failures {
 		if at, ok := check.crashTime(pool, s, failedAt, failedAt); ok {
-			charges++
-			list.Charge(digest, quarantine.Charge{Server: s.id, StartedMS: s.startedMS, SentAt: failedAt.Add(-time.Second), At: at})
+			crashes++
+			list.RecordCrash(digest, quarantine.Crash{Server: s.id, StartedMS: s.startedMS, SentAt: failedAt.Add(-time.Second), At: at})
 		}
 	}
-	is.Equal(charges, 2)
-	is.Equal(len(list.Get(digest).Charges), 1)
+	is.Equal(crashes, 2)
+	is.Equal(len(list.Get(digest).Crashes), 1)
 }
 
-// Guards against a sound request being charged with the crashes of suspects beside it.
+// Guards against a sound request being recorded with the crashes of suspects beside it.
 func TestSuspectsAreKeptApart(t *testing.T) {
 	is := is.New(t)
 	pool := newUpstreamPool(time.Now)
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -18,7 +18,7 @@
 // Limits of the exchange of suspected requests with peers and the store.
 const (
 	quarantinePrefix   = ownPrefix + "quarantine/" // followed by the digest; the values are quarantine.State
-	maxReportedCharges = 24                        // in this node's record
+	maxReportedCrashes = 24                        // in this node's record
 	maxStoreWrites     = 8                         // per step
 	quarantineTimeout  = 300 * time.Millisecond    // of one write
 )
@@ -39,7 +39,7 @@
 func (n *Node) quarantineRefusal(req *clientRequest) *refusal {
 	state := n.quarantine.Get(req.requestDigest())
 	var servers []string
-	for _, c := range state.Charges {
+	for _, c := range state.Crashes {
 		servers = append(servers, c.Server)
 	}
 	return &refusal{status: http.StatusServiceUnavailable, code: codeCrashesServers,
@@ -99,21 +99,21 @@
 	return true
 }
 
-// checkCrash charges the request if the server crashed while it ran there. It waits
-// a moment for the result, so that a resend can take it into account.
+// checkCrash records a crash for the request if the server crashed while it ran there. It
+// waits a moment for the result, so that a resend can take it into account.
 func (f *forwarder) checkCrash(ctx context.Context, s *upstream) {
 	n, id, digest := f.node, f.req.id, f.req.requestDigest()
 	check := n.crashes.check(s)
 	failedAt := clock.Now()
-	charge := quarantine.Charge{Server: s.id, Version: s.version, StartedMS: s.startedMS, SentAt: n.members.AgreedTime(f.sentAt)}
+	crash := quarantine.Crash{Server: s.id, Version: s.version, StartedMS: s.startedMS, SentAt: n.members.AgreedTime(f.sentAt)}
 	agreedFailedAt := n.members.AgreedTime(failedAt)
-	charged := make(chan struct{})
+	recorded := make(chan struct{})
 	go func() {
-		defer close(charged)
+		defer close(recorded)
 		<-check.done
 		if at, ok := check.crashTime(n.upstreams, s, failedAt, agreedFailedAt); ok {
-			charge.At = at
-			n.chargeCrash(id, digest, s.service, charge)
+			crash.At = at
+			n.recordCrash(id, digest, s.service, crash)
 		}
 	}()
 	select {
@@ -122,13 +122,13 @@
 	case <-time.After(crashWait):
 	}
 	if check.crashed.Load() {
-		<-charged
+		<-recorded
 	}
 }
 
-func (n *Node) chargeCrash(id string, digest quarantine.Digest, service string, charge quarantine.Charge) {
-	standing := n.quarantine.Charge(digest, charge)
-	klog.InfoS("suspected", "id", id, "digest", digest, "server", charge.Server, "crashes", standing.Crashes, "quarantined", standing.Quarantined)
+func (n *Node) recordCrash(id string, digest quarantine.Digest, service string, crash quarantine.Crash) {
+	standing := n.quarantine.RecordCrash(digest, crash)
+	klog.InfoS("suspected", "id", id, "digest", digest, "server", crash.Server, "crashes", standing.Crashes, "quarantined", standing.Quarantined)
 	n.metrics.Crash(service, standing.Quarantined)
 	n.peers.TriggerUrgentExchange()
 }
@@ -209,12 +209,12 @@
 // reportSuspects returns the suspected requests for this node's record.
 func (n *Node) reportSuspects() []*cluster.Suspect {
 	var out []*cluster.Suspect
-	for _, state := range n.quarantine.Report(maxReportedCharges) {
+	for _, state := range n.quarantine.Report(maxReportedCrashes) {
 		suspect := &cluster.Suspect{Digest: state.Digest[:]}
 		if !state.ClearedThrough.IsZero() {
 			suspect.ClearedThroughMs = state.ClearedThrough.UnixMilli()
 		}
-		for _, c := range state.Charges {
+		for _, c := range state.Crashes {
 			suspect.Crashes = append(suspect.Crashes, &cluster.Crash{Server: c.Server, Version: c.Version, StartedMs: c.StartedMS, SentMs: c.SentAt.UnixMilli(), AtMs: c.At.UnixMilli()})
 		}
 		out = append(out, suspect)
@@ -236,7 +236,7 @@
 			state.ClearedThrough = time.UnixMilli(in.ClearedThroughMs)
 		}
 		for _, c := range in.Crashes {
-			state.Charges = append(state.Charges, quarantine.Charge{Server: c.Server, Version: c.Version, StartedMS: c.StartedMs, SentAt: time.UnixMilli(c.SentMs), At: time.UnixMilli(c.AtMs)})
+			state.Crashes = append(state.Crashes, quarantine.Crash{Server: c.Server, Version: c.Version, StartedMS: c.StartedMs, SentAt: time.UnixMilli(c.SentMs), At: time.UnixMilli(c.AtMs)})
 		}
 		states = append(states, state)
 	}
--- a/src/quarantine/list.go
+++ b/src/quarantine/list.go
@@ -16,10 +16,10 @@
 	mu        sync.Mutex
 	suspects  map[Digest]*suspect
 	completed completions
-	standings map[Digest]Standing // nil if a judgment is due
+	standings map[Digest]Standing // nil if a evaluation is due
 }
 
-// suspect is a request with charges, and what became of its state.
+// suspect is a request with crashes, and what became of its state.
 type suspect struct {
 	state     State
 	own       bool      // this node saw one of the crashes
@@ -36,11 +36,11 @@
 // Active reports whether any request is suspected.
 func (l *List) Active() bool { return l.active.Load() }
 
-// Charge records a crash that this node saw.
-func (l *List) Charge(d Digest, c Charge) Standing {
+// RecordCrash records a crash that this node saw.
+func (l *List) RecordCrash(d Digest, c Crash) Standing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.merge(State{Digest: d, Charges: []Charge{c}}, true)
+	l.merge(State{Digest: d, Crashes: []Crash{c}}, true)
 	return l.standing(d)
 }
 
@@ -66,15 +66,15 @@
 	return l.standing(d)
 }
 
-// standing judges if anything has changed. A node that has just started has not heard yet
-// what completed at other nodes, so it condemns no request by itself.
+// standing evaluates all suspects if anything has changed. A node that has just started has not heard yet
+// what completed at other nodes, so it quarantines no request by itself.
 func (l *List) standing(d Digest) Standing {
 	s := l.suspects[d]
 	if s == nil {
 		return Standing{}
 	}
 	if l.standings == nil {
-		l.standings = judge(l.suspects)
+		l.standings = evaluate(l.suspects)
 	}
 	standing := l.standings[d]
 	if s.revision == 0 && l.now().Sub(l.startedAt) < learningPeriod {
@@ -128,7 +128,7 @@
 }
 
 // evict drops one request: of the customer with the most, the one with the fewest
-// charges, then the oldest. So no customer can push out another's.
+// crashes, then the oldest. So no customer can push out another's.
 func (l *List) evict() {
 	counts := map[[customerBytes]byte]int{}
 	for d := range l.suspects {
@@ -139,7 +139,7 @@
 		if victim == nil || cmp.Or(
 			cmp.Compare(counts[victim.state.Digest.customer()], counts[d.customer()]),
 			cmp.Compare(len(s.state.open()), len(victim.state.open())),
-			s.state.lastCharge().Compare(victim.state.lastCharge())) < 0 {
+			s.state.lastCrash().Compare(victim.state.lastCrash())) < 0 {
 			victim = s
 		}
 	}
@@ -162,10 +162,10 @@
 	}
 }
 
-// Report returns what to tell other nodes, with at most maxCharges charges in all: recent
+// Report returns what to tell other nodes, with at most maxCrashes crashes in all: recent
 // observations of this node, and what belongs in the store but isn't known to be there.
-// Those with the most charges come first.
-func (l *List) Report(maxCharges int) []State {
+// Those with the most crashes come first.
+func (l *List) Report(maxCrashes int) []State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.forgetCleared()
@@ -180,9 +180,9 @@
 	})
 	var out []State
 	for _, s := range list {
-		brief := s.state.brief(chargesPerReport)
-		maxCharges -= len(brief.Charges)
-		if maxCharges < 0 {
+		brief := s.state.brief(crashesPerReport)
+		maxCrashes -= len(brief.Crashes)
+		if maxCrashes < 0 {
 			break
 		}
 		out = append(out, brief)
--- a/src/quarantine/list_test.go
+++ b/src/quarantine/list_test.go
@@ -13,11 +13,11 @@
 
 var testStart = time.Unix(1_900_000_000, 0)
 
-// crashAt returns a charge for a crash some seconds after testStart, of a server to
+// crashAt returns a crash for a crash some seconds after testStart, of a server to
 // which the request was sent 100 ms before.
-func crashAt(server string, seconds float64) Charge {
+func crashAt(server string, seconds float64) Crash {
 	at := testStart.Add(time.Duration(seconds * float64(time.Second)))
-	return Charge{Server: server, Version: "v1", StartedMS: 1, SentAt: at.Add(-100 * time.Millisecond), At: at}
+	return Crash{Server: server, Version: "v1", StartedMS: 1, SentAt: at.Add(-100 * time.Millisecond), At: at}
 }
 
 func testDigest(customer, body string) Digest {
@@ -38,58 +38,58 @@
 	l, _ := testList()
 	d := testDigest("one", "bad")
 	is.True(!l.Active())
-	is.Equal(l.Charge(d, crashAt("a", 1)).Crashes, 1)
-	is.Equal(l.Charge(d, crashAt("a", 1.2)).Crashes, 1) // a second report about the same crash
-	is.True(!l.Charge(d, crashAt("b", 2)).Quarantined)
-	is.True(l.Charge(d, crashAt("a", 3)).Quarantined) // the server was back in between
+	is.Equal(l.RecordCrash(d, crashAt("a", 1)).Crashes, 1)
+	is.Equal(l.RecordCrash(d, crashAt("a", 1.2)).Crashes, 1) // a second report about the same crash
+	is.True(!l.RecordCrash(d, crashAt("b", 2)).Quarantined)
+	is.True(l.RecordCrash(d, crashAt("a", 3)).Quarantined) // the server was back in between
 	is.True(!l.Standing(testDigest("two", "bad")).Quarantined)
 }
 
-// Guards against condemning a popular request for a failure of many servers at once.
+// Guards against quarantining a popular request for a failure of many servers at once.
 func TestSimultaneousCrashesCountOnce(t *testing.T) {
 	is := is.New(t)
 	l, _ := testList()
 	d := testDigest("one", "popular")
 	for i := range 6 {
-		is.Equal(l.Charge(d, crashAt(fmt.Sprint("s-", i), 1+float64(i)/100)).Crashes, 1)
+		is.Equal(l.RecordCrash(d, crashAt(fmt.Sprint("s-", i), 1+float64(i)/100)).Crashes, 1)
 	}
 }
 
 // Guards against a popular request being refused by a node that has just started, and
 // knows of the crashes beside it but not that it completes.
-func TestStartingNodeCondemnsNoRequestByItself(t *testing.T) {
+func TestStartingNodeQuarantinesNoRequestByItself(t *testing.T) {
 	is := is.New(t)
 	now := testStart
 	l := NewList(func() time.Time { return now })
 	popular, bad := testDigest("one", "popular"), testDigest("one", "bad")
 	for i := range 3 {
-		l.Charge(popular, crashAt(fmt.Sprint("s-", i), float64(i)))
-		l.Charge(bad, crashAt(fmt.Sprint("t-", i), float64(i)))
+		l.RecordCrash(popular, crashAt(fmt.Sprint("s-", i), float64(i)))
+		l.RecordCrash(bad, crashAt(fmt.Sprint("t-", i), float64(i)))
 	}
 	is.True(!l.Standing(popular).Quarantined)
 	l.ApplyStored([]Stored{{l.Get(bad), 7}}, 7)
-	is.True(l.Standing(bad).Quarantined) // others have condemned it
+	is.True(l.Standing(bad).Quarantined) // others have quarantined it
 	l.Merge([]State{{Digest: popular, ClearedThrough: testStart.Add(5 * time.Second)}})
 	now = now.Add(learningPeriod)
 	is.True(!l.Standing(popular).Quarantined)
 }
 
-// Guards against condemning a request for the crashes of another one beside it.
+// Guards against quarantining a request for the crashes of another one beside it.
 func TestCrashesExplainedByAnotherRequestDoNotCount(t *testing.T) {
 	is := is.New(t)
 	l, _ := testList()
 	bad, sound := testDigest("one", "bad"), testDigest("one", "sound")
 	for i, server := range []string{"a", "b", "c", "d"} {
-		l.Charge(bad, crashAt(server, float64(i)))
+		l.RecordCrash(bad, crashAt(server, float64(i)))
 	}
 	for i, server := range []string{"a", "b", "c"} {
-		l.Charge(sound, crashAt(server, float64(i)))
+		l.RecordCrash(sound, crashAt(server, float64(i)))
 	}
 	is.True(l.Standing(bad).Quarantined)
 	is.Equal(l.Standing(sound), Standing{})
 }
 
-// Guards against a verdict that is lifted by more crashes: of many that happen at once,
+// Guards against a decision that is lifted by more crashes: of many that happen at once,
 // the latest pushed out those that had led to it.
 func TestFurtherCrashesDoNotLiftQuarantine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -100,14 +100,14 @@
 			sent := rapid.IntRange(0, 80).Draw(t, "sent")
 			c := crashAt(fmt.Sprint("s-", i), float64(sent+rapid.IntRange(1, 40).Draw(t, "duration"))/10)
 			c.SentAt = testStart.Add(time.Duration(sent) * 100 * time.Millisecond)
-			after := l.Charge(d, c)
+			after := l.RecordCrash(d, c)
 			if before.Quarantined && !after.Quarantined {
 				t.Fatalf("%+v became %+v with %+v", before, after, l.Get(d))
 			}
 			before = after
 		}
-		if len(l.Get(d).Charges) > maxCharges {
-			t.Fatalf("%d charges are kept", len(l.Get(d).Charges))
+		if len(l.Get(d).Crashes) > maxCrashes {
+			t.Fatalf("%d crashes are kept", len(l.Get(d).Crashes))
 		}
 	})
 }
@@ -117,7 +117,7 @@
 	l, now := testList()
 	d := testDigest("one", "sound")
 	for i := range 3 {
-		l.Charge(d, crashAt(fmt.Sprint("s-", i), float64(i)))
+		l.RecordCrash(d, crashAt(fmt.Sprint("s-", i), float64(i)))
 	}
 	is.True(l.Standing(d).Quarantined)
 	is.True(l.Complete(d, testStart.Add(5*time.Second)))
@@ -130,44 +130,44 @@
 
 // Guards against a popular request being refused because many servers crash, one after
 // the other, under a request that runs beside it each time.
-func TestRequestThatCompletesIsNotCondemnedForCrashesBesideIt(t *testing.T) {
+func TestRequestThatCompletesIsNotQuarantinedForCrashesBesideIt(t *testing.T) {
 	is := is.New(t)
 	l, _ := testList()
 	popular, bad := testDigest("one", "popular"), testDigest("one", "bad")
 	at := func(seconds float64) time.Time { return testStart.Add(time.Duration(seconds * float64(time.Second))) }
 	l.Complete(popular, at(0))
 	for i := range 5 {
-		l.Merge([]State{{Digest: popular, Charges: []Charge{crashAt(fmt.Sprint("s-", i), float64(1+i))}}})
-		l.Charge(bad, crashAt(fmt.Sprint("s-", i), float64(1+i)))
+		l.Merge([]State{{Digest: popular, Crashes: []Crash{crashAt(fmt.Sprint("s-", i), float64(1+i))}}})
+		l.RecordCrash(bad, crashAt(fmt.Sprint("s-", i), float64(1+i)))
 	}
 	is.True(l.Standing(bad).Quarantined)
 	is.True(!l.Standing(popular).Quarantined)
 
 	// A crash that another node reports late is cleared by a completion that this node knows.
 	l.Complete(popular, at(7))
-	l.Merge([]State{{Digest: popular, Charges: []Charge{crashAt("s-9", 6.9)}}})
+	l.Merge([]State{{Digest: popular, Crashes: []Crash{crashAt("s-9", 6.9)}}})
 	is.Equal(l.Standing(popular), Standing{})
 	is.Equal(l.Report(8)[0].Digest, bad)
 	is.Equal(l.Report(99)[1].ClearedThrough, at(7)) // the others hear of it
 
 	// Software that crashes on it since an update is a reason all the same.
 	for i := range crashesAfterCompletion {
-		l.Charge(popular, crashAt(fmt.Sprint("t-", i), 10+float64(i)/5))
+		l.RecordCrash(popular, crashAt(fmt.Sprint("t-", i), 10+float64(i)/5))
 	}
 	is.True(!l.Standing(popular).Quarantined) // all within a second
-	l.Charge(popular, crashAt("t-9", 10+spanAfterCompletion.Seconds()))
+	l.RecordCrash(popular, crashAt("t-9", 10+spanAfterCompletion.Seconds()))
 	is.True(l.Standing(popular).Quarantined)
 }
 
-// All nodes must come to the same judgment, in whatever order and how often they hear of it.
+// All nodes must come to the same evaluation, in whatever order and how often they hear of it.
 func TestMergeOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var states []State
 		for range rapid.IntRange(1, 20).Draw(t, "reports") {
 			d := testDigest("one", rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "request"))
-			s := State{Digest: d, Charges: []Charge{crashAt(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "server"), 2*float64(rapid.IntRange(0, 3).Draw(t, "time")))}}
+			s := State{Digest: d, Crashes: []Crash{crashAt(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "server"), 2*float64(rapid.IntRange(0, 3).Draw(t, "time")))}}
 			if rapid.IntRange(0, 9).Draw(t, "completes") == 0 {
-				s.ClearedThrough = s.Charges[0].At.Add(time.Second)
+				s.ClearedThrough = s.Crashes[0].At.Add(time.Second)
 			}
 			states = append(states, s)
 		}
@@ -196,23 +196,23 @@
 	l, _ := testList()
 	other := testDigest("two", "bad")
 	for i := range 3 {
-		l.Charge(other, crashAt(fmt.Sprint("s-", i), float64(i)))
+		l.RecordCrash(other, crashAt(fmt.Sprint("s-", i), float64(i)))
 	}
 	for i := range maxSuspects + 500 {
-		l.Charge(testDigest("one", fmt.Sprint(i)), crashAt(fmt.Sprint("f-", i), float64(i)))
+		l.RecordCrash(testDigest("one", fmt.Sprint(i)), crashAt(fmt.Sprint("f-", i), float64(i)))
 	}
 	is.Equal(len(l.suspects), maxSuspects)
 	is.True(l.Standing(other).Quarantined)
-	is.Equal(len(l.Report(12)), 10) // the one with three charges, and nine with one
+	is.Equal(len(l.Report(12)), 10) // the one with three crashes, and nine with one
 }
 
 func TestStoreReceivesRepeatedCrashesOnly(t *testing.T) {
 	is := is.New(t)
 	l, now := testList()
 	d := testDigest("one", "bad")
-	l.Charge(d, crashAt("a", 1))
+	l.RecordCrash(d, crashAt("a", 1))
 	is.Equal(len(l.Unstored(8)), 0)
-	l.Charge(d, crashAt("b", 2))
+	l.RecordCrash(d, crashAt("b", 2))
 	pending := l.Unstored(8)
 	is.Equal(len(pending), 1)
 	pending[0].Revision = 7
@@ -227,7 +227,7 @@
 	peer.ApplyStored([]Stored{{state, 7}}, 7)
 	is.Equal(peer.Standing(d).Crashes, 2)
 	is.Equal(len(peer.Unstored(8)), 0)
-	third := State{Digest: d, Charges: []Charge{crashAt("c", 3)}}
+	third := State{Digest: d, Crashes: []Crash{crashAt("c", 3)}}
 	peer.Merge([]State{third})
 	is.Equal(len(peer.Unstored(8)), 0) // the node that saw it writes it
 	*peerNow = peerNow.Add(takeoverDelay + time.Second)
@@ -244,11 +244,11 @@
 	is := is.New(t)
 	l, _ := testList()
 	d := testDigest("one", "sound")
-	l.Charge(d, crashAt("a", 1.0000001))
-	l.Charge(d, crashAt("b", 2.0000001))
+	l.RecordCrash(d, crashAt("a", 1.0000001))
+	l.RecordCrash(d, crashAt("b", 2.0000001))
 	l.Complete(d, testStart.Add(3*time.Second+123456*time.Nanosecond))
-	l.Charge(d, crashAt("c", 4.0000001))
-	l.Charge(d, crashAt("d", 5.0000001))
+	l.RecordCrash(d, crashAt("c", 4.0000001))
+	l.RecordCrash(d, crashAt("d", 5.0000001))
 	pending := l.Unstored(8)
 	is.Equal(len(pending), 1)
 	stored, err := DecodeState(d, pending[0].State.Encode())
@@ -264,15 +264,15 @@
 	l, _ := testList()
 	for i := range 40 {
 		for j := range 1 + i%8 {
-			l.Charge(testDigest("one", fmt.Sprint(i)), crashAt(fmt.Sprint("s-", j), float64(3*j)))
+			l.RecordCrash(testDigest("one", fmt.Sprint(i)), crashAt(fmt.Sprint("s-", j), float64(3*j)))
 		}
 	}
-	charges := 0
+	crashes := 0
 	for _, s := range l.Report(24) {
-		charges += len(s.Charges)
+		crashes += len(s.Crashes)
 	}
-	is.True(charges <= 24)
-	is.True(charges > 16)
+	is.True(crashes <= 24)
+	is.True(crashes > 16)
 }
 
 func TestStoreMakesRoom(t *testing.T) {
@@ -280,7 +280,7 @@
 	var stored []Stored
 	for i := range maxStored {
 		d := testDigest(map[bool]string{true: "flood", false: fmt.Sprint("customer-", i)}[i%2 == 0], fmt.Sprint(i))
-		stored = append(stored, Stored{State{Digest: d, Charges: []Charge{crashAt("a", float64(i))}}, int64(i + 1)})
+		stored = append(stored, Stored{State{Digest: d, Crashes: []Crash{crashAt("a", float64(i))}}, int64(i + 1)})
 	}
 	is.Equal(len(ToRemove(stored[1:])), 0)
 	is.Equal(ToRemove(stored), []Digest{testDigest("flood", "0")}) // the oldest of the customer with the most
@@ -292,7 +292,7 @@
 	l, _ := testList()
 	d := testDigest("one", "bad")
 	for i := range 3 {
-		l.Charge(d, crashAt(fmt.Sprint("s-", i), float64(i)))
+		l.RecordCrash(d, crashAt(fmt.Sprint("s-", i), float64(i)))
 	}
 	later := testStart.Add(2 * time.Hour)
 	is.True(!l.TrialDue(d, "v1", later)) // not stored, so that other nodes may try it too
@@ -326,25 +326,25 @@
 		servers := rapid.IntRange(6, 18).Draw(t, "servers")
 		bad := testDigest("one", "bad")
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		crashes := 0
+		attempts := 0
 		for attempt := 0; attempt < 40 && !l.Standing(bad).Quarantined; attempt++ {
 			server, at := fmt.Sprint("s-", rng.IntN(servers)), 1.5*float64(attempt)
-			crashes++
-			l.Charge(bad, crashAt(server, at))
+			attempts++
+			l.RecordCrash(bad, crashAt(server, at))
 			for i := range rng.IntN(8) {
 				// Each runs beside the bad one at random, and completes at times.
 				sound := testDigest("two", fmt.Sprint(rng.IntN(30), i))
 				if l.Standing(sound).Crashes > 0 {
 					continue // the gateway keeps suspects apart
 				}
-				l.Charge(sound, crashAt(server, at))
+				l.RecordCrash(sound, crashAt(server, at))
 				if rng.IntN(3) == 0 {
 					l.Complete(sound, testStart.Add(time.Duration((at+0.5)*float64(time.Second))))
 				}
 			}
 		}
-		if crashes != crashesToQuarantine {
-			t.Fatalf("quarantined after %d crashes", crashes)
+		if attempts != crashesToQuarantine {
+			t.Fatalf("quarantined after %d crashes", attempts)
 		}
 		for d := range l.suspects {
 			if d != bad && l.Standing(d).Quarantined {
@@ -355,16 +355,16 @@
 }
 
 func FuzzDecodeState(f *testing.F) {
-	s := State{Digest: testDigest("one", "x"), ClearedThrough: testStart, Charges: []Charge{crashAt("a", 1)}, Trials: []string{"v1"}}
+	s := State{Digest: testDigest("one", "x"), ClearedThrough: testStart, Crashes: []Crash{crashAt("a", 1)}, Trials: []string{"v1"}}
 	f.Add(s.Encode())
-	f.Add([]byte(`{"charges":[{}]}`))
+	f.Add([]byte(`{"crashes":[{}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		decoded, err := DecodeState(s.Digest, raw)
 		if err != nil {
 			return
 		}
 		again, err := DecodeState(s.Digest, decoded.Encode())
-		if err != nil || len(again.Charges) != len(decoded.Charges) {
+		if err != nil || len(again.Crashes) != len(decoded.Crashes) {
 			t.Fatalf("%q: %v, %v", raw, decoded, err)
 		}
 	})
--- a/src/quarantine/state.go
+++ b/src/quarantine/state.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Charge is one crash of a server that had the request in progress.
-type Charge struct {
+// Crash is one crash of a server that had the request in progress.
+type Crash struct {
 	Server    string    // ID
 	Version   string    // software version
 	StartedMS int64     // start of the server before the crash, Unix ms
@@ -19,8 +19,8 @@
 // mean the same crash: a server takes longer to be back.
 const sameCrashWithin = time.Second
 
-// sameCrash reports whether two charges are about the same crash.
-func (c Charge) sameCrash(other Charge) bool {
+// sameCrash reports whether two records are about the same crash.
+func (c Crash) sameCrash(other Crash) bool {
 	return c.Server == other.Server && c.StartedMS == other.StartedMS && c.At.Sub(other.At).Abs() < sameCrashWithin
 }
 
@@ -28,19 +28,19 @@
 // kept in the store.
 type State struct {
 	Digest         Digest
-	ClearedThrough time.Time // the request completed then: earlier charges don't count
-	Charges        []Charge
+	ClearedThrough time.Time // the request completed then: earlier crashes don't count
+	Crashes        []Crash
 	Trials         []string // server versions on which it was tried while quarantined
 }
 
-// maxCharges bounds the charges kept for one request.
-const maxCharges = 64
+// maxCrashes bounds the crashes kept for one request.
+const maxCrashes = 64
 
-// merge adds what other says and reports whether anything changed. Merging is
-// commutative and idempotent, so the order of messages doesn't matter.
+// merge adds what other says and reports whether anything changed. Up to maxCrashes
+// crashes, the order and repetition of messages don't matter.
 func (s *State) merge(other State) (changed bool) {
-	for _, c := range other.Charges {
-		changed = s.charge(c) || changed
+	for _, c := range other.Crashes {
+		changed = s.addCrash(c) || changed
 	}
 	if other.ClearedThrough.After(s.ClearedThrough) {
 		s.ClearedThrough = other.ClearedThrough
@@ -55,29 +55,29 @@
 	return changed
 }
 
-// charge adds a charge unless it is known or not needed. It reports whether the charges
+// addCrash adds a crash unless it is known or not needed. It reports whether the crashes
 // changed.
-func (s *State) charge(c Charge) (changed bool) {
-	if slices.ContainsFunc(s.Charges, c.sameCrash) {
+func (s *State) addCrash(c Crash) (changed bool) {
+	if slices.ContainsFunc(s.Crashes, c.sameCrash) {
 		return false
 	}
-	all := append(slices.Clone(s.Charges), c)
-	slices.SortStableFunc(all, func(a, b Charge) int { return a.At.Compare(b.At) })
-	if len(all) > maxCharges {
+	all := append(slices.Clone(s.Crashes), c)
+	slices.SortStableFunc(all, func(a, b Crash) int { return a.At.Compare(b.At) })
+	if len(all) > maxCrashes {
 		i := s.leastNeeded(all)
 		if all[i] == c {
 			return false
 		}
 		all = slices.Delete(all, i, i+1)
 	}
-	s.Charges = all
+	s.Crashes = all
 	return true
 }
 
-// leastNeeded returns the index of the charge that may be dropped: the oldest one before
+// leastNeeded returns the index of the crash that may be dropped: the oldest one before
 // the last completion, else the latest one that doesn't count (see distinct), else the
-// oldest. So a verdict never rests on charges that were dropped.
-func (s *State) leastNeeded(sorted []Charge) int {
+// oldest. So a decision never rests on crashes that were dropped.
+func (s *State) leastNeeded(sorted []Crash) int {
 	if !sorted[0].At.After(s.ClearedThrough) {
 		return 0
 	}
@@ -90,44 +90,44 @@
 	return 0
 }
 
-// brief returns the state with at most limit charges, for a report: those that count (see
+// brief returns the state with at most limit crashes, for a report: those that count (see
 // distinct), latest first.
 func (s *State) brief(limit int) State {
 	out := State{Digest: s.Digest, ClearedThrough: s.ClearedThrough, Trials: s.Trials}
 	open := s.open()
 	counted := distinctIndexes(open)
 	for _, i := range counted[max(len(counted)-limit, 0):] {
-		out.Charges = append(out.Charges, open[i])
+		out.Crashes = append(out.Crashes, open[i])
 	}
 	return out
 }
 
-// open returns the charges since the request last completed.
-func (s *State) open() []Charge {
-	for i, c := range s.Charges {
+// open returns the crashes since the request last completed.
+func (s *State) open() []Crash {
+	for i, c := range s.Crashes {
 		if c.At.After(s.ClearedThrough) {
-			return s.Charges[i:]
+			return s.Crashes[i:]
 		}
 	}
 	return nil
 }
 
-// lastCharge returns the time of the latest charge, zero if there is none.
-func (s *State) lastCharge() time.Time {
-	if len(s.Charges) == 0 {
+// lastCrash returns the time of the latest crash, zero if there is none.
+func (s *State) lastCrash() time.Time {
+	if len(s.Crashes) == 0 {
 		return time.Time{}
 	}
-	return s.Charges[len(s.Charges)-1].At
+	return s.Crashes[len(s.Crashes)-1].At
 }
 
 // storedState is the form of a State in the store, under its digest.
 type storedState struct {
-	ClearedThroughMS int64          `json:"cleared_through_ms,omitempty"` // Unix ms
-	Charges          []storedCharge `json:"charges"`
-	Trials           []string       `json:"trials,omitempty"`
+	ClearedThroughMS int64         `json:"cleared_through_ms,omitempty"` // Unix ms
+	Crashes          []storedCrash `json:"crashes"`
+	Trials           []string      `json:"trials,omitempty"`
 }
 
-type storedCharge struct {
+type storedCrash struct {
 	Server    string `json:"server"`
 	Version   string `json:"version"`
 	StartedMS int64  `json:"started_ms"`
@@ -141,8 +141,8 @@
 	if !s.ClearedThrough.IsZero() {
 		out.ClearedThroughMS = s.ClearedThrough.UnixMilli()
 	}
-	for _, c := range s.Charges {
-		out.Charges = append(out.Charges, storedCharge{c.Server, c.Version, c.StartedMS, c.SentAt.UnixMilli(), c.At.UnixMilli()})
+	for _, c := range s.Crashes {
+		out.Crashes = append(out.Crashes, storedCrash{c.Server, c.Version, c.StartedMS, c.SentAt.UnixMilli(), c.At.UnixMilli()})
 	}
 	raw, err := json.Marshal(out)
 	if err != nil {
@@ -161,8 +161,8 @@
 	if in.ClearedThroughMS != 0 {
 		s.ClearedThrough = time.UnixMilli(in.ClearedThroughMS)
 	}
-	for _, c := range in.Charges {
-		s.charge(Charge{c.Server, c.Version, c.StartedMS, time.UnixMilli(c.SentMS), time.UnixMilli(c.AtMS)})
+	for _, c := range in.Crashes {
+		s.addCrash(Crash{c.Server, c.Version, c.StartedMS, time.UnixMilli(c.SentMS), time.UnixMilli(c.AtMS)})
 	}
 	return s, nil
 }
--- a/src/quarantine/stored.go
+++ b/src/quarantine/stored.go
@@ -46,7 +46,7 @@
 
 // differs reports whether s holds anything that other lacks.
 func (s *State) differs(other State) bool {
-	merged := State{ClearedThrough: other.ClearedThrough, Charges: slices.Clone(other.Charges), Trials: slices.Clone(other.Trials)}
+	merged := State{ClearedThrough: other.ClearedThrough, Crashes: slices.Clone(other.Crashes), Trials: slices.Clone(other.Trials)}
 	return merged.merge(*s)
 }
 
@@ -98,7 +98,7 @@
 		return cmp.Or(
 			cmp.Compare(counts[b.State.Digest.customer()], counts[a.State.Digest.customer()]),
 			cmp.Compare(len(a.State.open()), len(b.State.open())),
-			a.State.lastCharge().Compare(b.State.lastCharge()))
+			a.State.lastCrash().Compare(b.State.lastCrash()))
 	})
 	return []Digest{victim.State.Digest}
 }
@@ -114,10 +114,10 @@
 	if s == nil || s.revision == 0 || len(s.state.Trials) >= maxTrials {
 		return false
 	}
-	if now.Sub(s.state.lastCharge()) < trialDelay || slices.Contains(s.state.Trials, version) {
+	if now.Sub(s.state.lastCrash()) < trialDelay || slices.Contains(s.state.Trials, version) {
 		return false
 	}
-	otherSoftware := !slices.ContainsFunc(s.state.Charges, func(c Charge) bool { return c.Version == version })
+	otherSoftware := !slices.ContainsFunc(s.state.Crashes, func(c Crash) bool { return c.Version == version })
 	return len(s.state.Trials) == 0 || otherSoftware
 }
 
--- a/src/telemetry/gateway.go
+++ b/src/telemetry/gateway.go
@@ -39,7 +39,7 @@
 		refusals:       inst.counter("refusals", "answers of the gateway's own, by code"),
 		retries:        inst.counter("retries", "repeated sends that the retry budget granted or refused, by service"),
 		retryNodes:     inst.gauge("retry_nodes", "nodes among which the retry budget was divided last, by service"),
-		crashes:        inst.counter("crashes", "crashes of servers charged to a request that ran there, by service and whether the request is quarantined"),
+		crashes:        inst.counter("crashes", "crashes of servers, counted for each request that ran there, by service and whether the request is quarantined"),
 		unusable:       inst.counter("unusable_entries", "entries of servers in the store that name no server to use, once for each revision"),
 		addedLatency:   inst.durationHistogram("added", "time from a request's arrival to its first send, by route"),
 		firstEvent:     inst.durationHistogram("first_event", "time from a request's arrival to its first event, by route"),
@@ -86,7 +86,7 @@
 	g.retryNodes.Record(context.Background(), int64(nodes), attrs("service", service))
 }
 
-// Crash counts a crash of a server that is charged to a request.
+// Crash counts a crash of a server for a request that ran there.
 func (g *GatewayMetrics) Crash(service string, quarantined bool) {
 	g.crashes.Add(context.Background(), 1, attrs("service", service, "quarantined", strconv.FormatBool(quarantined)))
 }
--- a/test/quarantine_test.go
+++ b/test/quarantine_test.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// Guards against sound requests being condemned for running beside one that crashes
+// Guards against sound requests being quarantined for running beside one that crashes
 // servers: they must be served while it is sent and afterwards.
 func TestRequestsBesideOneThatCrashesServersAreServed(t *testing.T) {
 	t.Parallel() // mostly waits
@@ -179,7 +179,7 @@
 	is.Equal(late, 0)
 }
 
-// Guards against condemning requests for what is no crash: lost, spoiled and failed
+// Guards against quarantining requests for what is no crash: lost, spoiled and failed
 // answers, and a server that ends as planned.
 func TestBrokenAnswersDoNotQuarantine(t *testing.T) {
 	is := is.New(t)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -102,8 +102,8 @@
 // soakCrashingSeeds are seeds in which a request that crashes servers was sent again.
 var soakCrashingSeeds = []uint64{17440007305313032230, 18356404835008256425, 17642824239626407197}
 
-// TestSoakStopsRequestThatCrashesServers runs the soak with a check that only parallel
-// copies of that request can fail: about 25 a second, behind proxies.
+// TestSoakStopsRequestThatCrashesServers checks after the faults that calm nodes do not go
+// on sending a request that crashes servers, although many copies of it arrive at once.
 func TestSoakStopsRequestThatCrashesServers(t *testing.T) {
 	for _, seed := range soakCrashingSeeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, seed, (*soak).checkCrashingRequest) })
