quarantine: crashes count by the end of the run, and unexplained ones hold a request

Callers saw: one request that crashes servers behind proxies, sent once each 150 ms to 4 nodes before 12 servers, crashed 18 to 20 of them, 3 to 7 later than 3 s after the third, and as a repeatable one 32, 11 of them late (3 late allowed). Every crash took the requests beside it.

Cause: behind a proxy a crash is known when the server is back, 2.1 s later, and had that later time. (1) Nothing was held back in those 2.1 s, so the attempts went through all servers. (2) An attempt sent before the earlier server was back seemed to overlap with that crash, so that many crashes counted as one. (3) A completion in between did not clear such a crash, as it was earlier than the time of the crash.

Ruled out: slow exchange (the nodes knew each other's reports within 100 ms); missed crashes (each was reported, with the later time).

Fix: a crash also has the time at which the response ended, and all counting goes by that. A run that ends early is an interruption until the check of its server ends; nodes report theirs. While the third would make the verdict if the servers that close new connections turn out to have crashed, the request is refused with Retry-After (crashes_unclear). A node that has just started holds in the same way what it would quarantine.

--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -45,6 +45,9 @@
 	// OnStalledConn is called when a pooled connection to a peer has stalled and
 	// a new one works. It may be nil.
 	OnStalledConn func(address string)
+	// OnSuspects is called when a peer has sent suspected requests or interruptions of
+	// its own, or a hub those of all nodes. It may be nil.
+	OnSuspects func()
 
 	client           *http.Client
 	mu               sync.Mutex
@@ -214,6 +217,15 @@
 	if reply.Summary != nil {
 		n.Members.SetSummary(reply.Own, reply.Summary, midpoint)
 	}
+	if s := reply.GetSummary(); len(s.GetSuspects())+len(s.GetInterruptions()) > 0 {
+		n.onSuspects()
+	}
+}
+
+func (n *Node) onSuspects() {
+	if n.OnSuspects != nil {
+		n.OnSuspects()
+	}
 }
 
 func (n *Node) setAvoided(node string) {
@@ -337,6 +349,9 @@
 		n.Members.MergeAged(r, recordAge(m, i))
 	}
 	n.Members.RecordClock(m.GetOwn().GetNode(), time.UnixMicro(m.WallUs), at)
+	if len(m.GetOwn().GetSuspects())+len(m.GetOwn().GetInterruptions()) > 0 {
+		n.onSuspects()
+	}
 	if len(m.Items) == 0 && !m.Whole {
 		return
 	}
--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -22,6 +22,7 @@
 	clientAddressTTL   = 3 * time.Second       // age up to which an address from a summary is used
 	maxSuspects        = 8                     // in one summary
 	maxLimits          = 32                    // in one summary
+	maxInterruptions   = 24                    // in one summary
 )
 
 // aggregates are totals over the records of all members, shared by summaries.
@@ -35,6 +36,7 @@
 	clientAddresses                  []string
 	suspects                         []*Suspect // those with the most crashes
 	limits                           []*ServerLimit
+	interruptions                    []*Interruption
 }
 
 // serverLoad is the load that all nodes together place on a server.
@@ -124,7 +126,7 @@
 		out.Admitted = append(out.Admitted, tally)
 	}
 	out.Heavy = subtractOwn(m.aggregates.heavy, own.GetLoads())
-	out.Suspects, out.Limits = m.aggregates.suspects, m.aggregates.limits
+	out.Suspects, out.Limits, out.Interruptions = m.aggregates.suspects, m.aggregates.limits, m.aggregates.interruptions
 	out.MeanRequests, out.MeanUnread = m.aggregates.meanRequests, m.aggregates.meanPendingPrefill
 	for range min(maxClientAddresses, len(m.aggregates.clientAddresses)) {
 		out.Callers = append(out.Callers, m.aggregates.clientAddresses[rand.IntN(len(m.aggregates.clientAddresses))])
@@ -151,6 +153,9 @@
 		out.records[name] = r
 		out.suspects = append(out.suspects, r.Suspects...)
 		out.limits = append(out.limits, r.Limits...)
+		if age <= aliveTimeout {
+			out.interruptions = append(out.interruptions, r.Interruptions...)
+		}
 		if age <= aliveTimeout && r.Ready && !r.Leaving {
 			out.clientAddresses = append(out.clientAddresses, r.Callers)
 		}
@@ -167,6 +172,7 @@
 	out.heavy, out.meanRequests, out.meanPendingPrefill = heaviest(loads)
 	out.suspects = mostCrashes(out.suspects)
 	out.limits = latestLimits(out.limits)
+	out.interruptions = latestInterruptions(out.interruptions)
 	return out
 }
 
@@ -217,6 +223,15 @@
 	return out[:min(len(out), maxLimits)]
 }
 
+// latestInterruptions returns at most maxInterruptions, those that ended last first.
+func latestInterruptions(list []*Interruption) []*Interruption {
+	out := slices.Clone(list)
+	slices.SortFunc(out, func(a, b *Interruption) int {
+		return cmp.Or(cmp.Compare(b.EndedMs, a.EndedMs), bytes.Compare(a.Digest, b.Digest), cmp.Compare(a.Server, b.Server))
+	})
+	return out[:min(len(out), maxInterruptions)]
+}
+
 // heaviest returns the servers with the most pending prefill, then the most requests,
 // and the means over the remaining ones.
 func heaviest(loads map[string]serverLoad) (heavy []serverLoad, requests, pendingPrefill float32) {
--- a/src/gateway/client_request.go
+++ b/src/gateway/client_request.go
@@ -63,6 +63,7 @@
 	codeServersLimited = "servers_limited"
 	codeServersResting = "servers_resting"
 	codeCrashesServers = "crashes_servers"
+	codeCrashesUnclear = "crashes_unclear"
 )
 
 const (
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -58,8 +58,11 @@
 	}
 	for {
 		standing := n.standing(req)
-		if standing.Quarantined && req.trialVersion == "" {
+		switch {
+		case standing.Quarantined && req.trialVersion == "":
 			return f.finishQuarantined(ctx)
+		case standing.Held:
+			return f.finish(ctx, codeCrashesUnclear, request.Jitter(heldRetryAfter))
 		}
 		picked := n.chooseServer(req, standing, f.excluded)
 		s := picked.server
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -113,7 +113,7 @@
 	}
 	n.crashes = newCrashDetector(n.upstreams)
 	n.usage = newUsageCounter(settings.Duties.UsageWindow, n.clusterTime)
-	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.localRecord, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAllRecords: n.holdsLease, OnStalledConn: n.onStalledConn, RaiseIncarnation: n.raiseIncarnation}
+	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.localRecord, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAllRecords: n.holdsLease, OnStalledConn: n.onStalledConn, RaiseIncarnation: n.raiseIncarnation, OnSuspects: n.applyReports}
 	n.incarnation.Store(now.UnixMicro())
 	n.peers.Start()
 	n.lease = duty.NewLease(n.store, dutyLeaseKey, settings.Node, settings.Duties.Lease, clock.Exact)
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -13,23 +13,27 @@
 	"github.com/crankridge/crankridge/src/cluster"
 	"github.com/crankridge/crankridge/src/ports"
 	"github.com/crankridge/crankridge/src/quarantine"
+	"github.com/crankridge/crankridge/src/request"
 )
 
 // Limits of the exchange of suspected requests with peers and the store.
 const (
 	quarantinePrefix   = ownPrefix + "quarantine/" // followed by the digest; the values are quarantine.State
 	maxReportedCrashes = 24                        // in this node's record
+	maxReportedEnds    = 24                        // interruptions in this node's record
 	maxStoreWrites     = 8                         // per step
 	quarantineTimeout  = 300 * time.Millisecond    // of one write
+	heldRetryAfter     = time.Second               // of a request whose interruptions are not explained yet
 )
 
 // checkQuarantine refuses a request that crashes servers. A trial of a quarantined
 // request is let pass if it is due and this node wins it.
 func (n *Node) checkQuarantine(req *clientRequest) *refusal {
-	if !n.quarantine.Active() {
-		return nil
+	standing := n.standing(req)
+	if standing.Held {
+		return &refusal{status: http.StatusServiceUnavailable, code: codeCrashesUnclear, retryAfter: request.Jitter(heldRetryAfter), logValues: []any{"digest", req.requestDigest()}}
 	}
-	if !n.standing(req).Quarantined || n.claimTrial(req) {
+	if !standing.Quarantined || n.claimTrial(req) {
 		return nil
 	}
 	return n.quarantineRefusal(req)
@@ -105,13 +109,20 @@
 	n, id, digest := f.node, f.req.id, f.req.requestDigest()
 	check := n.crashes.check(s)
 	failedAt := clock.Now()
-	crash := quarantine.Crash{Server: s.id, Version: s.version, StartedMS: s.startedMS, SentAt: n.members.AgreedTime(f.sentAt)}
-	agreedFailedAt := n.members.AgreedTime(failedAt)
+	crash := quarantine.Crash{Server: s.id, Version: s.version, StartedMS: s.startedMS, SentAt: n.members.AgreedTime(f.sentAt), EndedAt: n.members.AgreedTime(failedAt)}
+	interruption := quarantine.Interruption{Digest: digest, Server: s.id, StartedMS: s.startedMS, SentAt: crash.SentAt, EndedAt: crash.EndedAt}
+	n.quarantine.Interrupt(interruption)
 	recorded := make(chan struct{})
 	go func() {
 		defer close(recorded)
+		defer n.quarantine.Explain(interruption)
+		<-check.probed
+		if check.unreachable.Load() {
+			n.quarantine.SetUnreachable(interruption)
+			n.peers.TriggerUrgentExchange()
+		}
 		<-check.done
-		if at, ok := check.crashTime(n.upstreams, s, failedAt, agreedFailedAt); ok {
+		if at, ok := check.crashTime(n.upstreams, s, failedAt, crash.EndedAt); ok {
 			crash.At = at
 			n.recordCrash(id, digest, s.service, crash)
 		}
@@ -211,11 +222,9 @@
 	var out []*cluster.Suspect
 	for _, state := range n.quarantine.Report(maxReportedCrashes) {
 		suspect := &cluster.Suspect{Digest: state.Digest[:]}
-		if !state.ClearedThrough.IsZero() {
-			suspect.ClearedThroughMs = state.ClearedThrough.UnixMilli()
-		}
+		suspect.ClearedThroughMs = unixMilli(state.ClearedThrough)
 		for _, c := range state.Crashes {
-			suspect.Crashes = append(suspect.Crashes, &cluster.Crash{Server: c.Server, Version: c.Version, StartedMs: c.StartedMS, SentMs: c.SentAt.UnixMilli(), AtMs: c.At.UnixMilli()})
+			suspect.Crashes = append(suspect.Crashes, &cluster.Crash{Server: c.Server, Version: c.Version, StartedMs: c.StartedMS, SentMs: c.SentAt.UnixMilli(), AtMs: c.At.UnixMilli(), EndedMs: unixMilli(c.EndedAt)})
 		}
 		out = append(out, suspect)
 	}
@@ -231,14 +240,71 @@
 			klog.ErrorS(err, "suspect_report_unusable")
 			continue
 		}
-		state := quarantine.State{Digest: digest}
-		if in.ClearedThroughMs != 0 {
-			state.ClearedThrough = time.UnixMilli(in.ClearedThroughMs)
-		}
+		state := quarantine.State{Digest: digest, ClearedThrough: timeOfMilli(in.ClearedThroughMs)}
 		for _, c := range in.Crashes {
-			state.Crashes = append(state.Crashes, quarantine.Crash{Server: c.Server, Version: c.Version, StartedMS: c.StartedMs, SentAt: time.UnixMilli(c.SentMs), At: time.UnixMilli(c.AtMs)})
+			state.Crashes = append(state.Crashes, quarantine.Crash{Server: c.Server, Version: c.Version, StartedMS: c.StartedMs, SentAt: time.UnixMilli(c.SentMs), At: time.UnixMilli(c.AtMs), EndedAt: timeOfMilli(c.EndedMs)})
 		}
 		states = append(states, state)
 	}
 	n.quarantine.Merge(states)
 }
+
+// reportInterruptions returns this node's interruptions for its record.
+func (n *Node) reportInterruptions() []*cluster.Interruption {
+	var out []*cluster.Interruption
+	for _, i := range n.quarantine.Interruptions(maxReportedEnds) {
+		out = append(out, &cluster.Interruption{Digest: i.Digest[:], Server: i.Server, StartedMs: i.StartedMS, SentMs: i.SentAt.UnixMilli(), EndedMs: i.EndedAt.UnixMilli(), Unreachable: i.Unreachable})
+	}
+	return out
+}
+
+// applyReports takes over what the other nodes, or a hub, report of suspected requests.
+func (n *Node) applyReports() {
+	var reported []*cluster.Interruption
+	if summary, _, _, ok := n.members.Summary(); ok && !n.peers.IsHub() {
+		n.mergeSuspects(summary.Suspects)
+		reported = summary.Interruptions
+	}
+	for _, m := range n.members.All() {
+		if m.Record.Node == n.initial.Node {
+			continue
+		}
+		n.mergeSuspects(m.Record.Suspects)
+		if n.members.Age(m) < interruptionMaxAge {
+			reported = append(reported, m.Record.Interruptions...)
+		}
+	}
+	n.quarantine.SetReported(decodeInterruptions(reported))
+}
+
+// interruptionMaxAge is the age up to which the interruptions of a node's record are used.
+const interruptionMaxAge = 2 * time.Second
+
+func decodeInterruptions(list []*cluster.Interruption) []quarantine.Interruption {
+	out := make([]quarantine.Interruption, 0, len(list))
+	for _, in := range list {
+		digest, err := quarantine.DigestFromBytes(in.Digest)
+		if err != nil {
+			klog.ErrorS(err, "interruption_report_unusable")
+			continue
+		}
+		out = append(out, quarantine.Interruption{Digest: digest, Server: in.Server, StartedMS: in.StartedMs, SentAt: time.UnixMilli(in.SentMs), EndedAt: time.UnixMilli(in.EndedMs), Unreachable: in.Unreachable})
+	}
+	return out
+}
+
+// unixMilli returns a time in Unix ms, 0 for the zero time.
+func unixMilli(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// timeOfMilli is the reverse of unixMilli.
+func timeOfMilli(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -40,7 +40,7 @@
 	for id, load := range n.upstreams.localLoads() {
 		r.Loads = append(r.Loads, &cluster.Load{Server: id, Requests: int32(load.requests), UnreadTokens: load.pendingPrefill})
 	}
-	r.Suspects = n.reportSuspects()
+	r.Suspects, r.Interruptions = n.reportSuspects(), n.reportInterruptions()
 	r.Limits = n.reportLimits()
 	r.Demands = n.scaler.demands(clock.Now())
 	return r
@@ -57,10 +57,10 @@
 	for _, m := range n.members.All() {
 		n.roster.Heard(m.Record.Node, m.Heard)
 		if m.Record.Node != n.initial.Node {
-			n.mergeSuspects(m.Record.Suspects)
 			n.mergeLimits(m.Record.Limits)
 		}
 	}
+	n.applyReports()
 	n.limits.SetNodes(n.roster.Others(), clock.Now())
 	n.upstreams.setNodes(n.roster.Count())
 	if summary, hub, at, ok := n.members.Summary(); ok && !n.peers.IsHub() {
@@ -87,7 +87,6 @@
 }
 
 func (n *Node) applySummary(s *cluster.Summary, hub string, at time.Time) {
-	n.mergeSuspects(s.Suspects)
 	n.mergeLimits(s.Limits)
 	n.quota.SetAggregate(hub, max(int(s.Nodes), n.roster.Count())-1)
 	n.mergeAdmitted(hub, summaryIncarnation, s.Admitted, at)
--- a/src/quarantine/evaluate.go
+++ b/src/quarantine/evaluate.go
@@ -28,6 +28,7 @@
 type Standing struct {
 	Crashes     int  // of servers that had it in progress, without those that another request explains
 	Quarantined bool // it must not be sent
+	Held        bool // it must not be sent until its interruptions are explained
 }
 
 // Isolated reports whether the request must run apart from other suspects.
@@ -80,7 +81,7 @@
 // explained by another one. What completed before is not a request that crashes every server.
 func (a *evidence) mustQuarantine(unexplained int) bool {
 	if a.completed {
-		span := a.crashes[len(a.crashes)-1].At.Sub(a.crashes[0].At)
+		span := a.crashes[len(a.crashes)-1].endedAt().Sub(a.crashes[0].endedAt())
 		return unexplained >= crashesAfterCompletion && span >= spanAfterCompletion
 	}
 	return unexplained >= crashesToQuarantine || distinct(a.crashes) >= maxTotalCrashes
@@ -117,8 +118,8 @@
 	return list, beside
 }
 
-// distinct counts crashes, sorted by time, without those to servers that had the
-// request when the crash counted before happened: these may have a common cause.
+// distinct counts crashes, sorted by the end of the run, without those of servers that had
+// the request when the run counted before ended: these may have a common cause.
 func distinct(crashes []Crash) int { return len(distinctIndexes(crashes)) }
 
 // distinctIndexes returns the indexes of the crashes that distinct counts.
@@ -128,7 +129,7 @@
 	for i, c := range crashes {
 		if len(counted) == 0 || !c.SentAt.Before(last) {
 			counted = append(counted, i)
-			last = c.At
+			last = c.endedAt()
 		}
 	}
 	return counted
--- /dev/null
+++ b/src/quarantine/interruption.go
@@ -0,0 +1,136 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Interruption is a run of a request that ended early, where it is not known yet whether the
+// server has crashed.
+type Interruption struct {
+	Digest      Digest
+	Server      string    // ID
+	StartedMS   int64     // start of the server, Unix ms
+	SentAt      time.Time // when the request was sent there, in the time on which the nodes agree
+	EndedAt     time.Time // of the response, in that time
+	Unreachable bool      // the server closes new connections since
+}
+
+// sameRun reports whether two values are about the same send of a request.
+func (i Interruption) sameRun(other Interruption) bool {
+	return i.Digest == other.Digest && i.Server == other.Server && i.StartedMS == other.StartedMS && i.SentAt.Equal(other.SentAt)
+}
+
+// crash returns the crash that the interruption is taken for until it is explained.
+func (i Interruption) crash() Crash {
+	return Crash{Server: i.Server, StartedMS: i.StartedMS, SentAt: i.SentAt, At: i.EndedAt}
+}
+
+// interruptions holds those that this node has seen, and those that the others report.
+type interruptions struct {
+	own      map[Digest][]Interruption
+	reported map[Digest][]Interruption
+}
+
+// after returns the interruptions of a request that ended later than t.
+func (i *interruptions) after(d Digest, t time.Time) []Interruption {
+	var out []Interruption
+	for _, list := range [][]Interruption{i.own[d], i.reported[d]} {
+		for _, item := range list {
+			if item.EndedAt.After(t) {
+				out = append(out, item)
+			}
+		}
+	}
+	return out
+}
+
+// digests returns the requests with interruptions.
+func (i *interruptions) digests() map[Digest]bool {
+	out := make(map[Digest]bool, len(i.own)+len(i.reported))
+	for d := range i.own {
+		out[d] = true
+	}
+	for d := range i.reported {
+		out[d] = true
+	}
+	return out
+}
+
+// Interrupt records a run that ended early. Explain must follow.
+func (l *List) Interrupt(i Interruption) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.interruptions.own[i.Digest] = append(l.interruptions.own[i.Digest], i)
+	l.changed()
+}
+
+// SetUnreachable records that the server of an interruption closes new connections.
+func (l *List) SetUnreachable(i Interruption) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for index, own := range l.interruptions.own[i.Digest] {
+		if own.sameRun(i) {
+			l.interruptions.own[i.Digest][index].Unreachable = true
+		}
+	}
+	l.changed()
+}
+
+// Explain drops an interruption, as it is known whether the server has crashed.
+func (l *List) Explain(i Interruption) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rest := slices.DeleteFunc(l.interruptions.own[i.Digest], i.sameRun)
+	l.interruptions.own[i.Digest] = rest
+	if len(rest) == 0 {
+		delete(l.interruptions.own, i.Digest)
+	}
+	l.changed()
+}
+
+// SetReported replaces the interruptions that the other nodes report.
+func (l *List) SetReported(list []Interruption) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(list) == 0 && len(l.interruptions.reported) == 0 {
+		return
+	}
+	l.interruptions.reported = map[Digest][]Interruption{}
+	for _, i := range list {
+		l.interruptions.reported[i.Digest] = append(l.interruptions.reported[i.Digest], i)
+	}
+	l.changed()
+}
+
+// Interruptions returns at most limit of those that this node has seen, the latest first.
+func (l *List) Interruptions(limit int) []Interruption {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Interruption
+	for list := range maps.Values(l.interruptions.own) {
+		out = append(out, list...)
+	}
+	slices.SortFunc(out, func(a, b Interruption) int { return b.EndedAt.Compare(a.EndedAt) })
+	return out[:min(len(out), limit)]
+}
+
+// withInterruptions returns the suspects as they are if each interruption by a server that
+// is unreachable now turns out to be a crash.
+func (l *List) withInterruptions() map[Digest]*suspect {
+	out := maps.Clone(l.suspects)
+	for d := range l.interruptions.digests() {
+		state := State{Digest: d, ClearedThrough: l.completed.last(d)}
+		if s := l.suspects[d]; s != nil {
+			state.merge(s.state)
+		}
+		for _, i := range l.interruptions.after(d, state.ClearedThrough) {
+			if i.Unreachable {
+				state.addCrash(i.crash())
+			}
+		}
+		out[d] = &suspect{state: state}
+	}
+	return out
+}
--- a/src/quarantine/list.go
+++ b/src/quarantine/list.go
@@ -16,7 +16,10 @@
 	mu        sync.Mutex
 	suspects  map[Digest]*suspect
 	completed completions
-	standings map[Digest]Standing // nil if a evaluation is due
+	standings map[Digest]Standing // nil if an evaluation is due
+	held      map[Digest]Standing // the same if all interruptions turn out to be crashes
+
+	interruptions interruptions
 }
 
 // suspect is a request with crashes, and what became of its state.
@@ -30,7 +33,13 @@
 
 // NewList returns an empty list.
 func NewList(now func() time.Time) *List {
-	return &List{now: now, startedAt: now(), suspects: map[Digest]*suspect{}}
+	return &List{now: now, startedAt: now(), suspects: map[Digest]*suspect{}, interruptions: interruptions{own: map[Digest][]Interruption{}}}
+}
+
+// changed makes the next call of standing evaluate all suspects again.
+func (l *List) changed() {
+	l.standings, l.held = nil, nil
+	l.active.Store(len(l.suspects)+len(l.interruptions.own)+len(l.interruptions.reported) > 0)
 }
 
 // Active reports whether any request is suspected.
@@ -52,7 +61,7 @@
 	at = at.Truncate(time.Millisecond) // the precision of the exchange and the store
 	l.completed.record(d, at)
 	s := l.suspects[d]
-	if s == nil || len(s.state.open()) == 0 {
+	if (s == nil || len(s.state.open()) == 0) && len(l.interruptions.after(d, time.Time{})) == 0 {
 		return false
 	}
 	l.merge(State{Digest: d, ClearedThrough: at}, true)
@@ -66,19 +75,21 @@
 	return l.standing(d)
 }
 
-// standing evaluates all suspects if anything has changed. A node that has just started has not heard yet
-// what completed at other nodes, so it quarantines no request by itself.
+// standing evaluates all suspects if anything has changed. A node that has just started has
+// not heard yet what completed at other nodes, so it only holds a request back by itself.
 func (l *List) standing(d Digest) Standing {
-	s := l.suspects[d]
-	if s == nil {
-		return Standing{}
-	}
 	if l.standings == nil {
 		l.standings = evaluate(l.suspects)
+		l.held = l.standings
+		if len(l.interruptions.own)+len(l.interruptions.reported) > 0 {
+			l.held = evaluate(l.withInterruptions())
+		}
 	}
 	standing := l.standings[d]
-	if s.revision == 0 && l.now().Sub(l.startedAt) < learningPeriod {
-		standing.Quarantined = false
+	standing.Held = !standing.Quarantined && l.held[d].Quarantined
+	s := l.suspects[d]
+	if standing.Quarantined && s.revision == 0 && l.now().Sub(l.startedAt) < learningPeriod {
+		standing.Quarantined, standing.Held = false, true
 	}
 	return standing
 }
@@ -119,11 +130,10 @@
 	s.unstored = true
 	s.changedAt = l.now()
 	l.suspects[state.Digest] = s
-	l.standings = nil
 	if len(l.suspects) > maxSuspects {
 		l.evict()
 	}
-	l.active.Store(true)
+	l.changed()
 	return s
 }
 
@@ -148,8 +158,7 @@
 
 func (l *List) forget(d Digest) {
 	delete(l.suspects, d)
-	l.standings = nil
-	l.active.Store(len(l.suspects) > 0)
+	l.changed()
 }
 
 // forgetCleared drops the requests that completed some time ago, which all nodes have
--- a/src/quarantine/state.go
+++ b/src/quarantine/state.go
@@ -12,7 +12,16 @@
 	Version   string    // software version
 	StartedMS int64     // start of the server before the crash, Unix ms
 	SentAt    time.Time // when the request was sent there, in the time on which the nodes agree
-	At        time.Time // of the crash, in that time
+	At        time.Time // of the crash, in that time; that of the next start where only this shows it
+	EndedAt   time.Time // of the response, in that time; zero if it is At
+}
+
+// endedAt returns when the run of the request ended.
+func (c Crash) endedAt() time.Time {
+	if c.EndedAt.IsZero() {
+		return c.At
+	}
+	return c.EndedAt
 }
 
 // sameCrashWithin is the time within which two reports about one run of a server
@@ -21,7 +30,8 @@
 
 // sameCrash reports whether two records are about the same crash.
 func (c Crash) sameCrash(other Crash) bool {
-	return c.Server == other.Server && c.StartedMS == other.StartedMS && c.At.Sub(other.At).Abs() < sameCrashWithin
+	within := c.At.Sub(other.At).Abs() < sameCrashWithin || c.endedAt().Sub(other.endedAt()).Abs() < sameCrashWithin
+	return c.Server == other.Server && c.StartedMS == other.StartedMS && within
 }
 
 // State is what is known of one suspected request, as exchanged between nodes and
@@ -56,13 +66,18 @@
 }
 
 // addCrash adds a crash unless it is known or not needed. It reports whether the crashes
-// changed.
+// changed. Of several runs that one crash ended, the one that ended last is kept.
 func (s *State) addCrash(c Crash) (changed bool) {
-	if slices.ContainsFunc(s.Crashes, c.sameCrash) {
-		return false
+	all := slices.Clone(s.Crashes)
+	if i := slices.IndexFunc(all, c.sameCrash); i >= 0 {
+		if c.endedAt().UnixMilli() <= all[i].endedAt().UnixMilli() { // the precision of the exchange and the store
+			return false
+		}
+		all[i] = c
+	} else {
+		all = append(all, c)
 	}
-	all := append(slices.Clone(s.Crashes), c)
-	slices.SortStableFunc(all, func(a, b Crash) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(all, func(a, b Crash) int { return a.endedAt().Compare(b.endedAt()) })
 	if len(all) > maxCrashes {
 		i := s.leastNeeded(all)
 		if all[i] == c {
@@ -78,7 +93,7 @@
 // the last completion, else the latest one that doesn't count (see distinct), else the
 // oldest. So a decision never rests on crashes that were dropped.
 func (s *State) leastNeeded(sorted []Crash) int {
-	if !sorted[0].At.After(s.ClearedThrough) {
+	if !sorted[0].endedAt().After(s.ClearedThrough) {
 		return 0
 	}
 	counted := distinctIndexes(sorted)
@@ -105,7 +120,7 @@
 // open returns the crashes since the request last completed.
 func (s *State) open() []Crash {
 	for i, c := range s.Crashes {
-		if c.At.After(s.ClearedThrough) {
+		if c.endedAt().After(s.ClearedThrough) {
 			return s.Crashes[i:]
 		}
 	}
@@ -133,6 +148,7 @@
 	StartedMS int64  `json:"started_ms"`
 	SentMS    int64  `json:"sent_ms"`
 	AtMS      int64  `json:"at_ms"`
+	EndedMS   int64  `json:"ended_ms,omitempty"`
 }
 
 // Encode returns the form in which a state is stored under its digest.
@@ -142,7 +158,7 @@
 		out.ClearedThroughMS = s.ClearedThrough.UnixMilli()
 	}
 	for _, c := range s.Crashes {
-		out.Crashes = append(out.Crashes, storedCrash{c.Server, c.Version, c.StartedMS, c.SentAt.UnixMilli(), c.At.UnixMilli()})
+		out.Crashes = append(out.Crashes, storedCrash{c.Server, c.Version, c.StartedMS, c.SentAt.UnixMilli(), c.At.UnixMilli(), c.endedAt().UnixMilli()})
 	}
 	raw, err := json.Marshal(out)
 	if err != nil {
@@ -162,7 +178,11 @@
 		s.ClearedThrough = time.UnixMilli(in.ClearedThroughMS)
 	}
 	for _, c := range in.Crashes {
-		s.addCrash(Crash{c.Server, c.Version, c.StartedMS, time.UnixMilli(c.SentMS), time.UnixMilli(c.AtMS)})
+		crash := Crash{Server: c.Server, Version: c.Version, StartedMS: c.StartedMS, SentAt: time.UnixMilli(c.SentMS), At: time.UnixMilli(c.AtMS)}
+		if c.EndedMS != 0 { // states stored by earlier versions lack it
+			crash.EndedAt = time.UnixMilli(c.EndedMS)
+		}
+		s.addCrash(crash)
 	}
 	return s, nil
 }
--- a/test/quarantine_parallel_test.go
+++ b/test/quarantine_parallel_test.go
@@ -96,3 +96,20 @@
 		})
 	}
 }
+
+// Guards against one crash after the other behind proxies, where each is known for certain
+// only when its server is back.
+func TestCrashesBehindProxiesAreStoppedBeforeServersReturn(t *testing.T) {
+	for _, route := range []string{"/once/x", "/repeat/x", "/resume/x"} {
+		t.Run(route[1:len(route)-2], func(t *testing.T) {
+			t.Parallel() // mostly waits
+			is := is.New(t)
+			b := newProxiedCrashBed(t, 12, 2100*time.Millisecond)
+			nodes := b.startNodes(4)
+			late := b.sendCrashing(route, nodes, crashTestLength)
+			t.Logf("%d crashes, %d of them late", b.crashes(), late)
+			is.True(late <= retriesAfter)
+			is.True(b.crashes() <= 3+retriesAfter)
+		})
+	}
+}
