gateway: copies of a suspected request run at one server, and leave others alone

Cause: a request was treated in a special way only from a confirmed crash on, and then each node chose its own server for each copy, so that every copy crashed another one. Nothing kept the last servers of a service from it.

Ruled out: the exchange as the cause at 4 nodes (an interruption is known at the others at once); counting (the verdict fell at the third distinct crash).

Fix: from the first unexplained end, which nodes report at once, the copies of a request run at one server, chosen by its digest among those with room: all nodes agree on it without a message, also while the store is silent or a node is cut off, and each crash is another one by construction. A suspected request leaves the last server of a service alone, and from two possible crashes on half of the servers, unless it is known to have completed before. Until servers are back it gets 503 with Retry-After. Weighed: one turn for each copy at an owner by hash or in the store, which needs a lease, a fallback and a wait for each; here copies need not wait for each other.

--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/crankridge/crankridge/src/clock"
+	"github.com/crankridge/crankridge/src/quarantine"
 	"github.com/crankridge/crankridge/src/request"
 )
 
@@ -66,6 +67,9 @@
 		}
 		picked := n.chooseServer(req, standing, f.excluded)
 		s := picked.server
+		if picked.reserved {
+			return f.finish(ctx, codeCrashesUnclear, request.Jitter(heldRetryAfter))
+		}
 		if s == nil {
 			return f.finishWithoutServer(ctx, picked.wait)
 		}
@@ -73,9 +77,7 @@
 			n.limits.Refund(s.run())
 			return f.finishFull(ctx)
 		}
-		n.upstreams.beginSuspect(s, standing)
-		done, err := f.try(ctx, s, picked.uncached)
-		n.upstreams.endSuspect(s, standing)
+		done, err := f.tryApart(ctx, s, standing, picked.uncached)
 		if f.mayHaveCrashed(ctx, err) {
 			f.checkCrash(ctx, s)
 		}
@@ -119,6 +121,21 @@
 	return f.req.route.Retryable() && f.runs < f.req.route.MaxAttempts
 }
 
+// tryApart is try, which counts the request among the suspects at the server if it is one.
+func (f *forwarder) tryApart(ctx context.Context, s *upstream, standing quarantine.Standing, uncached int64) (done bool, err error) {
+	if !standing.Suspected {
+		return f.try(ctx, s, uncached)
+	}
+	n, digest := f.node, f.req.requestDigest()
+	n.upstreams.beginSuspect(s, standing)
+	n.suspectRuns.add(digest, s.id, standing, 1)
+	defer func() {
+		n.upstreams.endSuspect(s, standing)
+		n.suspectRuns.add(digest, s.id, standing, -1)
+	}()
+	return f.try(ctx, s, uncached)
+}
+
 // try sends the request to one server and relays its response. done reports
 // whether the client has received a complete response.
 func (f *forwarder) try(ctx context.Context, s *upstream, uncached int64) (done bool, err error) {
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -9,7 +9,6 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -79,6 +78,7 @@
 	stalledConns  stalledConnDetector
 	crashes       *crashDetector
 	quarantine    *quarantine.List       // requests suspected of crashing servers
+	suspectRuns   suspectRuns            // copies of them in progress
 	limits        *admit.UpstreamLimiter // limits that servers have named
 
 	startedAt      time.Time
@@ -299,42 +299,6 @@
 	return 0
 }
 
-// choice is the server picked for a send.
-type choice struct {
-	server   *upstream     // nil if there is none to send to
-	uncached int64         // tokens of the prompt that it will have to prefill
-	wait     time.Duration // if only limits of servers leave none: the time after which to try again
-}
-
-// chooseServer picks the server for the next send, and takes the request from its
-// limit. On sticky routes it also sets req.queuedTokens.
-func (n *Node) chooseServer(req *clientRequest, standing quarantine.Standing, excluded map[string]bool) choice {
-	n.rngMu.Lock()
-	defer n.rngMu.Unlock()
-	list, wait := n.withinLimits(n.upstreams.candidates(req.service, excluded), req.priority)
-	list = preferred(list, func(c candidate) bool { return !c.backingOff })
-	picked := n.pick(req, standing, keepApart(list, standing))
-	if picked.server == nil {
-		return choice{wait: wait}
-	}
-	n.limits.Take(picked.server.run(), req.priority, clock.Now())
-	return picked
-}
-
-// pick chooses among the candidates. The caller holds rngMu.
-func (n *Node) pick(req *clientRequest, standing quarantine.Standing, list []candidate) choice {
-	if req.trialVersion != "" {
-		list = slices.DeleteFunc(list, func(c candidate) bool { return c.version != req.trialVersion })
-	}
-	if req.route.Sticky && !standing.Isolated() {
-		c, uncached, _ := chooseEngine(list, prompt{req.promptParts, req.tokensIn, n.cacheTracker.mayHold}, n.initial.FailureDomain, n.rng)
-		req.queuedTokens = c.pendingPrefill
-		return choice{server: c.upstream, uncached: uncached}
-	}
-	c, _ := leastLoaded(list, n.initial.FailureDomain, n.rng)
-	return choice{server: c.upstream, uncached: req.tokensIn}
-}
-
 func (n *Node) markDraining(s *upstream) {
 	if n.upstreams.markDraining(s) {
 		klog.InfoS("server_left", "server", s.id, "by", "answer")
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -112,6 +112,7 @@
 	crash := quarantine.Crash{Server: s.id, Version: s.version, StartedMS: s.startedMS, SentAt: n.members.AgreedTime(f.sentAt), EndedAt: n.members.AgreedTime(failedAt)}
 	interruption := quarantine.Interruption{Digest: digest, Server: s.id, StartedMS: s.startedMS, SentAt: crash.SentAt, EndedAt: crash.EndedAt}
 	n.quarantine.Interrupt(interruption)
+	n.peers.TriggerUrgentExchange()
 	recorded := make(chan struct{})
 	go func() {
 		defer close(recorded)
--- a/src/quarantine/evaluate.go
+++ b/src/quarantine/evaluate.go
@@ -29,6 +29,8 @@
 	Crashes     int  // of servers that had it in progress, without those that another request explains
 	Quarantined bool // it must not be sent
 	Held        bool // it must not be sent until its interruptions are explained
+	Suspected   bool // of these crashes, or of interruptions since its last completion
+	Possible    int  // crashes if all interruptions by unreachable servers turn out to be some
 }
 
 // Isolated reports whether the request must run apart from other suspects.
--- a/src/quarantine/interruption.go
+++ b/src/quarantine/interruption.go
@@ -46,6 +46,9 @@
 	return out
 }
 
+// any reports whether an interruption of a request ended later than t.
+func (i *interruptions) any(d Digest, t time.Time) bool { return len(i.after(d, t)) > 0 }
+
 // digests returns the requests with interruptions.
 func (i *interruptions) digests() map[Digest]bool {
 	out := make(map[Digest]bool, len(i.own)+len(i.reported))
--- a/src/quarantine/list.go
+++ b/src/quarantine/list.go
@@ -68,6 +68,14 @@
 	return true
 }
 
+// HasCompleted reports whether this node knows that the request has ever completed.
+func (l *List) HasCompleted(d Digest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[d]
+	return !l.completed.last(d).IsZero() || s != nil && !s.state.ClearedThrough.IsZero()
+}
+
 // Standing returns how the request is to be treated.
 func (l *List) Standing(d Digest) Standing {
 	l.mu.Lock()
@@ -87,7 +95,13 @@
 	}
 	standing := l.standings[d]
 	standing.Held = !standing.Quarantined && l.held[d].Quarantined
+	standing.Possible = l.held[d].Crashes
 	s := l.suspects[d]
+	clearedThrough := l.completed.last(d)
+	if s != nil && s.state.ClearedThrough.After(clearedThrough) {
+		clearedThrough = s.state.ClearedThrough
+	}
+	standing.Suspected = standing.Crashes > 0 || l.interruptions.any(d, clearedThrough)
 	if standing.Quarantined && s.revision == 0 && l.now().Sub(l.startedAt) < learningPeriod {
 		standing.Quarantined, standing.Held = false, true
 	}
--- a/test/quarantine_parallel_test.go
+++ b/test/quarantine_parallel_test.go
@@ -113,3 +113,36 @@
 		})
 	}
 }
+
+// Guards against one request that many clients send at once crashing all servers of a service.
+func TestCrashingRequestSentByManyAtOnce(t *testing.T) {
+	const servers, clients, downtime = 10, 8, 1500 * time.Millisecond
+	for _, proxied := range []bool{false, true} {
+		t.Run(fmt.Sprint("proxied-", proxied), func(t *testing.T) {
+			t.Parallel() // mostly waits
+			is := is.New(t)
+			var b *crashBed
+			if proxied {
+				b = newProxiedCrashBed(t, servers, downtime)
+			} else {
+				b = newCrashBed(t, servers)
+				for _, s := range b.servers {
+					s.CrashOn(crashBody, downtime, func() { b.store.Put("servers/"+s.ID, s.Entry("plain", "zone-1", "ready")) })
+				}
+			}
+			nodes := b.startNodes(4)
+			sound := sendSound(nodes, 4, "/once/x", func(client, n int) string { return fmt.Sprint("sound ", client, n) })
+			bad := sendSound(nodes, clients, "/once/x", func(int, int) string { return crashBody })
+			time.Sleep(contactTimeout)
+			early := b.crashes()
+			time.Sleep(contactTimeout)
+			t.Logf("%d crashes in the first %s, %d later", early, contactTimeout, b.crashes()-early)
+			t.Log(bad.end())
+			t.Log(sound.end())
+			is.True(early <= clients+retriesAfter) // the first copy of each client is sent before any crash
+			is.True(b.crashes()-early <= retriesAfter)
+			is.Equal(sound.refused.Load(), int64(0)) // servers are left for them
+			is.Equal(sound.quarantined.Load(), int64(0))
+		})
+	}
+}
