gateway: a run that the crash of its server ended does not count as an attempt, once

Callers saw: a sound request that waited at two servers while these crashed under another request got 502 or a cut answer, although its route allows it to run again (climb-summary, attempts 2; "gone", it never ran there).

Cause: what a crash takes with it was counted like a run of the request's own.

Fix: of the runs that ended because their server is gone (it has crashed or closes new connections), one does not count against the route's attempts. Requests that may run once only are not sent again, and the retry budget holds as before.

Evidence: TestRunEndedByCrashDoesNotCountAsAttemptOnce fails with maxFreeResends = 0, which is how the code was before.

--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -19,6 +19,7 @@
 // Limits of resending, and the responses when it fails.
 const (
 	maxSends              = 4 // servers that one client request is sent to
+	maxFreeResends        = 1 // after runs that a crash ended, which do not count as attempts
 	serversFullRetryAfter = 150 * time.Millisecond
 	noServerRetryAfter    = 300 * time.Millisecond
 	backlogDivisor        = 4 // prefill rates are sampled only if the backlog is below 1/backlogDivisor of the prompt's own tokens
@@ -35,6 +36,7 @@
 	sends           int // sends attempted
 	reached         int // sends that reached a server, or may have
 	runs            int // sends that a server executed, or may have
+	crashes         int // of these, those that ended because the server is gone
 	usageCounted    bool
 	pendingPrefill  int64     // tokens counted in the current server's backlog
 	executed        bool      // the current server executes the request, or may
@@ -63,12 +65,12 @@
 		case standing.Quarantined && req.trialVersion == "":
 			return f.finishQuarantined(ctx)
 		case standing.Held:
-			return f.finish(ctx, codeCrashesUnclear, request.Jitter(heldRetryAfter))
+			return f.finish(ctx, codeCrashesUnclear, request.JitterUp(heldRetryAfter))
 		}
 		picked := n.chooseServer(req, standing, f.excluded)
 		s := picked.server
 		if picked.reserved {
-			return f.finish(ctx, codeCrashesUnclear, request.Jitter(heldRetryAfter))
+			return f.finish(ctx, codeCrashesUnclear, request.JitterUp(heldRetryAfter))
 		}
 		if s == nil {
 			return f.finishWithoutServer(ctx, picked.wait)
@@ -78,8 +80,8 @@
 			return f.finishFull(ctx)
 		}
 		done, err := f.tryApart(ctx, s, standing, picked.uncached)
-		if f.mayHaveCrashed(ctx, err) {
-			f.checkCrash(ctx, s)
+		if f.mayHaveCrashed(ctx, err) && f.checkCrash(ctx, s) {
+			f.crashes++
 		}
 		if done {
 			f.log("answered", s.id, err)
@@ -118,7 +120,8 @@
 	case f.response.headerSent && (!f.req.route.Resumable || f.response.lastEventID == ""):
 		return false
 	}
-	return f.req.route.Retryable() && f.runs < f.req.route.MaxAttempts
+	attempts := f.runs - min(f.crashes, maxFreeResends)
+	return f.req.route.Retryable() && attempts < f.req.route.MaxAttempts
 }
 
 // tryApart is try, which counts the request among the suspects at the server if it is one.
--- a/src/gateway/suspect_test.go
+++ b/src/gateway/suspect_test.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// Guards against a request that is lost because the servers that had it, for which it could run
+// elsewhere, crashed under another one.
+func TestRunEndedByCrashDoesNotCountAsAttemptOnce(t *testing.T) {
+	is := is.New(t)
+	repeatable := &traffic.Route{Kind: traffic.Repeatable, MaxAttempts: 1}
+	for _, c := range []struct {
+		runs, crashes int
+		resend        bool
+	}{{1, 0, false}, {1, 1, true}, {2, 1, false}, {2, 2, false}} {
+		f := &forwarder{req: &clientRequest{route: repeatable}, response: &clientResponse{}, sends: c.runs, reached: c.runs, runs: c.runs, crashes: c.crashes}
+		is.Equal(f.mayResend(), c.resend)
+	}
+	f := &forwarder{req: &clientRequest{route: &traffic.Route{Kind: traffic.Once, MaxAttempts: 1}}, response: &clientResponse{}, sends: 1, runs: 1, crashes: 1}
+	is.True(!f.mayResend()) // it may have run
+}
+
 // poolOf returns a pool with servers of one service.
 func poolOf(count int) *upstreamPool {
 	pool := newUpstreamPool(time.Now)
