admit: a restarted process is charged for customers that it had not reported yet

Callers saw: a customer got 11,250 in a window that may hold 11,100, with 2 of 6 nodes that restart every 0.8 s, at 6 times the limit; about 1 run of the property in 20,000.

Cause: a leak, not a rare overrun. When a process is replaced, the others charge what it may have admitted after its last report, but only for customers of which that report had a total above zero. With a restart each 0.8 s and an exchange each 0.4 s the last report is the first one, and says nothing: each such life was free.

Fix: the charge is made for every bucket that the node knows. Only what a silent process may have admitted a window ago is not charged where it had reported nothing.

--- a/src/admit/restart.go
+++ b/src/admit/restart.go
@@ -112,12 +112,15 @@
 }
 
 // chargeLost charges what the earlier process of a restarted peer may have admitted after its
-// last report: its even share of that time, and what reportWait allows.
+// last report: its even share of that time, and what reportWait allows. That holds for each
+// customer, also those of which the process had reported nothing yet, unless that was a
+// window ago.
 func (l *SharedLimiter) chargeLost(peer *peerTotals, now time.Time) {
-	period := min(now.Sub(peer.receivedAt), peerTimeout).Seconds()
-	for customer, total := range peer.totals {
-		bucket := l.buckets[customer]
-		if bucket == nil || !bucket.known || total == 0 {
+	silent := now.Sub(peer.receivedAt)
+	period := min(silent, peerTimeout).Seconds()
+	for customer, bucket := range l.buckets {
+		outOfWindow := peer.totals[customer] == 0 && silent >= l.tolerance.Window
+		if !bucket.known || bucket.depth == 0 || outOfWindow {
 			continue
 		}
 		bucket.level -= l.evenShare(bucket)*period + unreportedFraction*bucket.depth + bucket.largestCost
