quarantine: bound what interruptions cost a node

Read through: a storm of resets made every interruption a suspect in the evaluation, each record of a peer made an evaluation due, and copies at one run of a server filled the report. Now only requests with a server that is unreachable are evaluated, a report that says nothing new changes nothing, and a run of a server is reported once for a request, 12 in a record. A quarantined request whose crashes another one explains is chosen a server like other suspects, for its trial.

--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -22,7 +22,7 @@
 	clientAddressTTL   = 3 * time.Second       // age up to which an address from a summary is used
 	maxSuspects        = 8                     // in one summary
 	maxLimits          = 32                    // in one summary
-	maxInterruptions   = 24                    // in one summary
+	maxInterruptions   = 12                    // in one summary
 )
 
 // aggregates are totals over the records of all members, shared by summaries.
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -20,7 +20,7 @@
 const (
 	quarantinePrefix   = ownPrefix + "quarantine/" // followed by the digest; the values are quarantine.State
 	maxReportedCrashes = 24                        // in this node's record
-	maxReportedEnds    = 24                        // interruptions in this node's record
+	maxReportedEnds    = 12                        // interruptions in this node's record
 	maxStoreWrites     = 8                         // per step
 	quarantineTimeout  = 300 * time.Millisecond    // of one write
 	heldRetryAfter     = time.Second               // of a request whose interruptions are not explained yet
--- a/src/quarantine/interruption.go
+++ b/src/quarantine/interruption.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"bytes"
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -29,8 +31,9 @@
 
 // interruptions holds those that this node has seen, and those that the others report.
 type interruptions struct {
-	own      map[Digest][]Interruption
-	reported map[Digest][]Interruption
+	own        map[Digest][]Interruption
+	reported   map[Digest][]Interruption
+	lastReport []Interruption // from which reported was made
 }
 
 // after returns the interruptions of a request that ended later than t.
@@ -46,17 +49,15 @@
 	return out
 }
 
-// any reports whether an interruption of a request ended later than t.
-func (i *interruptions) any(d Digest, t time.Time) bool { return len(i.after(d, t)) > 0 }
-
-// digests returns the requests with interruptions.
-func (i *interruptions) digests() map[Digest]bool {
-	out := make(map[Digest]bool, len(i.own)+len(i.reported))
-	for d := range i.own {
-		out[d] = true
-	}
-	for d := range i.reported {
-		out[d] = true
+// unreachable returns the requests with interruptions by servers that are unreachable now.
+func (i *interruptions) unreachable() map[Digest]bool {
+	out := map[Digest]bool{}
+	for _, byDigest := range []map[Digest][]Interruption{i.own, i.reported} {
+		for d, list := range byDigest {
+			if slices.ContainsFunc(list, func(item Interruption) bool { return item.Unreachable }) {
+				out[d] = true
+			}
+		}
 	}
 	return out
 }
@@ -93,13 +94,18 @@
 	l.changed()
 }
 
-// SetReported replaces the interruptions that the other nodes report.
+// SetReported replaces the interruptions that the other nodes report. It sorts the list and
+// keeps it.
 func (l *List) SetReported(list []Interruption) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(list) == 0 && len(l.interruptions.reported) == 0 {
+	slices.SortFunc(list, func(a, b Interruption) int {
+		return cmp.Or(bytes.Compare(a.Digest[:], b.Digest[:]), cmp.Compare(a.Server, b.Server), a.SentAt.Compare(b.SentAt))
+	})
+	if slices.Equal(list, l.interruptions.lastReport) {
 		return
 	}
+	l.interruptions.lastReport = list
 	l.interruptions.reported = map[Digest][]Interruption{}
 	for _, i := range list {
 		l.interruptions.reported[i.Digest] = append(l.interruptions.reported[i.Digest], i)
@@ -107,14 +113,26 @@
 	l.changed()
 }
 
-// Interruptions returns at most limit of those that this node has seen, the latest first.
+// Interruptions returns at most limit of those that this node has seen, the latest first: of
+// several copies of a request at one run of a server, the one that ended last.
 func (l *List) Interruptions(limit int) []Interruption {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []Interruption
-	for list := range maps.Values(l.interruptions.own) {
-		out = append(out, list...)
+	type serverRun struct {
+		digest    Digest
+		server    string
+		startedMS int64
+	}
+	latest := map[serverRun]Interruption{}
+	for _, list := range l.interruptions.own {
+		for _, item := range list {
+			key := serverRun{item.Digest, item.Server, item.StartedMS}
+			if known, ok := latest[key]; !ok || item.EndedAt.After(known.EndedAt) {
+				latest[key] = item
+			}
+		}
 	}
+	out := slices.Collect(maps.Values(latest))
 	slices.SortFunc(out, func(a, b Interruption) int { return b.EndedAt.Compare(a.EndedAt) })
 	return out[:min(len(out), limit)]
 }
@@ -123,7 +141,7 @@
 // is unreachable now turns out to be a crash.
 func (l *List) withInterruptions() map[Digest]*suspect {
 	out := maps.Clone(l.suspects)
-	for d := range l.interruptions.digests() {
+	for d := range l.interruptions.unreachable() {
 		state := State{Digest: d, ClearedThrough: l.completed.last(d)}
 		if s := l.suspects[d]; s != nil {
 			state.merge(s.state)
--- a/src/quarantine/list.go
+++ b/src/quarantine/list.go
@@ -101,7 +101,7 @@
 	if s != nil && s.state.ClearedThrough.After(clearedThrough) {
 		clearedThrough = s.state.ClearedThrough
 	}
-	standing.Suspected = standing.Crashes > 0 || l.interruptions.any(d, clearedThrough)
+	standing.Suspected = standing.Quarantined || standing.Crashes > 0 || len(l.interruptions.after(d, clearedThrough)) > 0
 	if standing.Quarantined && s.revision == 0 && l.now().Sub(l.startedAt) < learningPeriod {
 		standing.Quarantined, standing.Held = false, true
 	}
