traffic, platform: fields of the configuration that nothing reads are gone

Nothing changes but that a value of another type in such a field no longer makes the whole configuration unreadable. SpotPrice, DrainTime and WarmupTime stay, as tests read them.

--- a/src/gateway/settings.go
+++ b/src/gateway/settings.go
@@ -17,7 +17,6 @@
 	File          string // path of the settings file, watched for changes
 	Node          string
 	FailureDomain string
-	Region        string
 	Listen        Listeners
 	Seeds         []string      // peer addresses, which may be stale
 	Grace         time.Duration // from the stop signal until the process is killed
--- a/src/traffic/config.go
+++ b/src/traffic/config.go
@@ -32,19 +32,17 @@
 
 // Route sends the requests of a host and path prefix to services.
 type Route struct {
-	Name         string
-	Host         string
-	Prefix       string // begins and ends with a slash
-	Kind         Kind
-	Timeout      time.Duration // maximum duration of a request
-	Objective    time.Duration // latency objective
-	GapObjective time.Duration // objective for the time between events of a stream
-	Priority     int           // 0 is the highest, unlike in package catalog
-	Split        []WeightedService
-	MaxAttempts  int  // maximum number of servers tried per client attempt
-	Public       bool // requests need no API key
-	Sticky       bool // servers are chosen by their prefix cache as well as their load
-	Resumable    bool // an interrupted stream can be continued
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Kind        Kind
+	Timeout     time.Duration // maximum duration of a request
+	Priority    int           // 0 is the highest, unlike in package catalog
+	Split       []WeightedService
+	MaxAttempts int  // maximum number of servers tried per client attempt
+	Public      bool // requests need no API key
+	Sticky      bool // servers are chosen by their prefix cache as well as their load
+	Resumable   bool // an interrupted stream can be continued
 }
 
 // Retryable reports whether a request of the route may run more than once.
@@ -60,22 +58,14 @@
 
 // Service is a set of interchangeable servers.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int
-	Engine         *Engine  // nil if the servers are not model engines
-	Scaling        *Scaling // nil if no servers can be ordered
+	Name    string
+	Engine  *Engine  // nil if the servers are not model engines
+	Scaling *Scaling // nil if no servers can be ordered
 }
 
-// Engine describes the model engines of a service. Only Slots is used; the other
-// fields are decoded but have no effect.
+// Engine describes the model engines of a service.
 type Engine struct {
-	Slots       int           // requests that an engine runs at a time
-	CacheTokens int           // capacity of the KV cache
-	TokenBytes  int           // size of a token in the KV cache
-	LinkMbps    float64       // bandwidth of the network link, Mbit/s
-	KVTransfer  bool          // KV caches can be moved between engines
-	KVHandleTTL time.Duration // lifetime of a handle, by which another engine fetches a KV cache
+	Slots int // requests that an engine runs at a time
 }
 
 // Scaling configures the scaling of a service. Min and Max are numbers of servers
@@ -101,10 +91,8 @@
 
 // Limits are the limits of client connections and requests.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Upstream is a running server of a service.
