--- a/src/upstream/registry_test.go
+++ b/src/upstream/registry_test.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,3 +109,25 @@
 	r.ApplyCacheEvents("a", 9, []engine.CacheEvent{{Seq: 9, Block: 2, Evicted: true}})
 	is.Equal(r.Candidates("m", blocks)[0].CachedBlocks, 1) // a prefix ends at its first gap
 }
+
+// Guards against an upstream's leaving being told twice: by many at once, before it is
+// published and when it is.
+func TestLeavingIsToldOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var told atomic.Int64
+	r := NewRegistry(func() time.Time { return now }, func(string, time.Time) { told.Add(1) })
+	deadline := now.Add(time.Minute)
+	markByMany := func() {
+		var group sync.WaitGroup
+		for range 50 {
+			group.Go(func() { r.MarkLeaving("a", deadline) })
+		}
+		group.Wait()
+	}
+	markByMany()
+	is.Equal(told.Load(), int64(1))
+	r.Replace([]DomainUpstreams{{Upstreams: []Published{{Name: "a", Addr: "x", LeavingMS: deadline.UnixMilli()}}}})
+	markByMany()
+	is.Equal(told.Load(), int64(1))
+}
