gateway: a service without demand is scaled down

The need of a service without demand was the highest that was ever inferred from its servers, added anew at each step, so that it never fell, however long nothing was asked of it. Now that holds for 5 minutes without demand; then the service falls to its minimum (Min, or one server a domain, two of them on demand).

--- a/src/gateway/scale.go
+++ b/src/gateway/scale.go
@@ -18,6 +18,7 @@
 const (
 	spotStartupMargin = 3 * time.Second         // beyond Scaling.Boot and listingDelay, for the first spot servers to arrive
 	listingDelay      = 3000 * time.Millisecond // time for all servers to be listed after the node has started
+	idleRetention     = 5 * time.Minute         // without demand, for which a service keeps its servers: several boots, and pauses in traffic
 )
 
 // scaler holds the demand data from which the lease holder sizes services.
@@ -26,11 +27,12 @@
 	meters         map[string]*capacity.DemandMeter // of this node, by service
 	peaks          map[string]*capacity.RollingMax  // of the required servers, by service
 	hadDemand      map[string]bool                  // whether the last step saw demand
+	idleSince      map[string]time.Time             // of services without demand
 	initialServers map[string]int                   // highest need of a service that was inferred from its servers while it had no demand
 }
 
 func newScaler() *scaler {
-	return &scaler{meters: map[string]*capacity.DemandMeter{}, peaks: map[string]*capacity.RollingMax{}, initialServers: map[string]int{}, hadDemand: map[string]bool{}}
+	return &scaler{meters: map[string]*capacity.DemandMeter{}, peaks: map[string]*capacity.RollingMax{}, initialServers: map[string]int{}, hadDemand: map[string]bool{}, idleSince: map[string]time.Time{}}
 }
 
 // meter returns this node's demand meter of a service.
@@ -115,12 +117,29 @@
 	}
 	klog.V(1).InfoS("demand", "service", service.Name, "tokens", tokenRate, "reading", prefillRate, "running", running)
 	required := capacity.RequiredServers(tokenRate, running, slots, prefillRate)
-	if required == 0 || !n.scaler.hadDemand[service.Name] {
-		// Keep the existing servers for a while, because demand takes time to measure.
-		n.scaler.initialServers[service.Name] = max(n.scaler.initialServers[service.Name], capacity.InferredNeed(servers, n.initial.FirstStart))
-		peak.Add(n.scaler.initialServers[service.Name], now)
-	}
-	n.scaler.hadDemand[service.Name] = required > 0
+	peak.Add(n.scaler.retainedServers(service.Name, required, capacity.InferredNeed(servers, n.initial.FirstStart), now), now)
 	spotMayArrive := now.Sub(n.startedAt) < service.Scaling.Boot+listingDelay+spotStartupMargin
 	return capacity.Need{Servers: peak.Add(required, now), SpotPending: required == 0 && n.initial.FirstStart && spotMayArrive}
 }
+
+// retainedServers returns how many of the existing servers a service keeps although its demand
+// requires fewer: all of them until there is demand, because it takes time to measure, but
+// for idleRetention at most. The caller holds the lock.
+func (s *scaler) retainedServers(service string, required, existing int, now time.Time) int {
+	hadDemand := s.hadDemand[service]
+	s.hadDemand[service] = required > 0
+	if required > 0 {
+		delete(s.idleSince, service)
+	} else if s.idleSince[service].IsZero() {
+		s.idleSince[service] = now
+	}
+	if required > 0 && hadDemand {
+		return 0
+	}
+	if required == 0 && now.Sub(s.idleSince[service]) > idleRetention {
+		delete(s.initialServers, service)
+		return 0
+	}
+	s.initialServers[service] = max(s.initialServers[service], existing)
+	return s.initialServers[service]
+}
