gateway, quarantine: read through by a newcomer's eye

Names and places only: setUnreachable stands with the crash check, the refusal of a held request has one function, sameSend says what it compares, a stale reason is right again.

--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -155,9 +155,9 @@
 		out.limits = append(out.limits, r.Limits...)
 		if age <= aliveTimeout {
 			out.interruptions = append(out.interruptions, r.Interruptions...)
-		}
-		if age <= aliveTimeout && r.Ready && !r.Leaving {
-			out.clientAddresses = append(out.clientAddresses, r.Callers)
+			if r.Ready && !r.Leaving {
+				out.clientAddresses = append(out.clientAddresses, r.Callers)
+			}
 		}
 		if age > LoadMaxAge {
 			continue
--- a/src/gateway/crash.go
+++ b/src/gateway/crash.go
@@ -165,6 +165,14 @@
 	return probeAccepted
 }
 
+// setUnreachable records whether a server closes new connections at once.
+func (p *upstreamPool) setUnreachable(s *upstream, unreachable bool) {
+	p.mu.Lock()
+	s.unreachable = unreachable
+	p.mu.Unlock()
+	klog.InfoS("server_reachable", "server", s.id, "started_ms", s.startedMS, "reachable", !unreachable)
+}
+
 // status reports whether a server is draining, and whether it is listed. The end of a
 // server that is draining is no crash, and that of an unlisted one need not be.
 func (p *upstreamPool) status(s *upstream) (draining, listed bool) {
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -65,12 +65,12 @@
 		case standing.Quarantined && req.trialVersion == "":
 			return f.finishQuarantined(ctx)
 		case standing.Held:
-			return f.finish(ctx, codeCrashesUnclear, request.JitterUp(heldRetryAfter))
+			return f.finishHeld(ctx)
 		}
 		picked := n.chooseServer(req, standing, f.excluded)
 		s := picked.server
 		if picked.reserved {
-			return f.finish(ctx, codeCrashesUnclear, request.JitterUp(heldRetryAfter))
+			return f.finishHeld(ctx)
 		}
 		if s == nil {
 			return f.finishWithoutServer(ctx, picked.wait)
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -20,15 +20,15 @@
 const (
 	quarantinePrefix   = ownPrefix + "quarantine/" // followed by the digest; the values are quarantine.State
 	maxReportedCrashes = 24                        // in this node's record
-	maxReportedEnds    = 12                        // interruptions in this node's record
+	maxInterruptions   = 12                        // in this node's record
 	maxStoreWrites     = 8                         // per step
 	quarantineTimeout  = 300 * time.Millisecond    // of one write
 	heldRetryAfter     = time.Second               // of a request whose interruptions are not explained yet
 	verdictDelay       = time.Second               // from a crash, in which a node hears of completions elsewhere
 )
 
-// checkQuarantine refuses a request that crashes servers. A trial of a quarantined
-// request is let pass if it is due and this node wins it.
+// checkQuarantine refuses a request that crashes servers, or may do so until that is known. A
+// trial of a quarantined request is let pass if it is due and this node wins it.
 func (n *Node) checkQuarantine(req *clientRequest) *refusal {
 	standing := n.standing(req)
 	if standing.Held {
@@ -69,6 +69,11 @@
 	return refused
 }
 
+// finishHeld ends a request that must not be sent until it is known whether it crashes servers.
+func (f *forwarder) finishHeld(ctx context.Context) *refusal {
+	return f.finish(ctx, codeCrashesUnclear, request.JitterUp(heldRetryAfter))
+}
+
 // claimTrial reports whether this node may send a quarantined request once more. The
 // store decides, so that no two nodes try the same request.
 func (n *Node) claimTrial(req *clientRequest) bool {
@@ -267,7 +272,7 @@
 // reportInterruptions returns this node's interruptions for its record.
 func (n *Node) reportInterruptions() []*cluster.Interruption {
 	var out []*cluster.Interruption
-	for _, i := range n.quarantine.Interruptions(maxReportedEnds) {
+	for _, i := range n.quarantine.Interruptions(maxInterruptions) {
 		out = append(out, &cluster.Interruption{Digest: i.Digest[:], Server: i.Server, StartedMs: i.StartedMS, SentMs: i.SentAt.UnixMilli(), EndedMs: i.EndedAt.UnixMilli(), Unreachable: i.Unreachable})
 	}
 	return out
--- a/src/gateway/upstreams.go
+++ b/src/gateway/upstreams.go
@@ -318,14 +318,6 @@
 	s.ejectedUntil = p.now().Add(s.ejection)
 }
 
-// setUnreachable records whether a server closes new connections at once.
-func (p *upstreamPool) setUnreachable(s *upstream, unreachable bool) {
-	p.mu.Lock()
-	s.unreachable = unreachable
-	p.mu.Unlock()
-	klog.InfoS("server_reachable", "server", s.id, "started_ms", s.startedMS, "reachable", !unreachable)
-}
-
 // localLoads returns this node's load on each server that has any.
 func (p *upstreamPool) localLoads() map[string]serverLoad {
 	p.mu.Lock()
--- a/src/quarantine/evaluate.go
+++ b/src/quarantine/evaluate.go
@@ -13,7 +13,7 @@
 	crashesAfterCompletion = 6                // the same for a request that completed before
 	spanAfterCompletion    = 5 * time.Second  // without a completion, in which these crashes must lie: popular requests complete all the time
 	maxTotalCrashes        = 4                // explained or not
-	crashesToIsolate       = 2                // after which a request runs at the quietest server
+	crashesToIsolate       = 2                // after which other requests avoid the server that runs it
 	learningPeriod         = 2 * time.Second  // after the start of a node, in which it hears of completions
 	trialDelay             = 10 * time.Second // from the last crash until a quarantined request may be tried again
 	maxTrials              = 2
--- a/src/quarantine/interruption.go
+++ b/src/quarantine/interruption.go
@@ -19,8 +19,8 @@
 	Unreachable bool      // the server closes new connections since
 }
 
-// sameRun reports whether two values are about the same send of a request.
-func (i Interruption) sameRun(other Interruption) bool {
+// sameSend reports whether two values are about the same send of a request.
+func (i Interruption) sameSend(other Interruption) bool {
 	return i.Digest == other.Digest && i.Server == other.Server && i.StartedMS == other.StartedMS && i.SentAt.Equal(other.SentAt)
 }
 
@@ -75,7 +75,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for index, own := range l.interruptions.own[i.Digest] {
-		if own.sameRun(i) {
+		if own.sameSend(i) {
 			l.interruptions.own[i.Digest][index].Unreachable = true
 		}
 	}
@@ -86,7 +86,7 @@
 func (l *List) Explain(i Interruption) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rest := slices.DeleteFunc(l.interruptions.own[i.Digest], i.sameRun)
+	rest := slices.DeleteFunc(l.interruptions.own[i.Digest], i.sameSend)
 	l.interruptions.own[i.Digest] = rest
 	if len(rest) == 0 {
 		delete(l.interruptions.own, i.Digest)
--- a/src/quarantine/list.go
+++ b/src/quarantine/list.go
@@ -17,7 +17,7 @@
 	suspects  map[Digest]*suspect
 	completed completions
 	standings map[Digest]Standing // nil if an evaluation is due
-	held      map[Digest]Standing // the same if all interruptions turn out to be crashes
+	held      map[Digest]Standing // the same if all interruptions by unreachable servers turn out to be crashes
 
 	interruptions interruptions
 }
