--- a/test/gateway_testbed_test.go
+++ b/test/gateway_testbed_test.go
@@ -31,10 +31,12 @@
 	config  map[string]any
 	retries string // settings of the retry budget
 	duties  string // value of CloudApi.Duties
+	linked  bool   // nodes that are started get links of their own to the servers
 }
 
 type gatewayNode struct {
 	settings gateway.Settings
+	links    *serverLinks // nil unless the testbed is linked
 	stop     context.CancelFunc
 	done     chan struct{}
 }
@@ -114,16 +116,22 @@
 	b.is.NoErr(os.WriteFile(path, []byte(text), 0o600))
 	set, err := platform.Load(path)
 	b.is.NoErr(err)
-	node, err := gateway.New(set, platform.New(set))
+	n := &gatewayNode{settings: set, done: make(chan struct{})}
+	var nodePlatform gateway.Platform = platform.New(set)
+	if b.linked {
+		n.links = newServerLinks(b.t)
+		nodePlatform = &linkedPlatform{nodePlatform, n.links}
+	}
+	node, err := gateway.New(set, nodePlatform)
 	b.is.NoErr(err)
-	ctx, stop := context.WithCancel(context.Background())
-	n := &gatewayNode{settings: set, stop: stop, done: make(chan struct{})}
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
 	go func() {
 		defer close(n.done)
 		_ = node.Run(ctx)
 	}()
 	b.nodes = append(b.nodes, n)
-	b.t.Cleanup(func() { stop(); <-n.done })
+	b.t.Cleanup(func() { n.stop(); <-n.done })
 	b.eventually("node ready", func() bool {
 		resp, err := http.Get("http://" + set.Listen.Ready + "/-/readiness")
 		if err != nil {
