gateway: requests do not connect to servers that this node has found unreachable

Callers of a node without a way to its servers were refused after up to 1.6 s, as if the servers were full: each request connected anew to up to four of them, 0.4 s each. Cause: a failed connection ejected one server for 0.5 s, and when all were ejected all were candidates again. What one request had found the next one found once more. A failed connection now marks the server unreachable at this node; probes in the background, at most one a second and server, end that, and the first that succeeds brings all forward. Open connections that still work are used. Where no server is reached the refusal says so (servers_unreachable), at once, with the time by which all have been probed again. The crash check no longer makes a server usable by becoming certain.

--- a/src/gateway/client_request.go
+++ b/src/gateway/client_request.go
@@ -55,6 +55,7 @@
 	codeStopping       = "stopping"
 	codeNoServer       = "no_server"
 	codeServersFull    = "servers_full"
+	codeUnreachable    = "servers_unreachable"
 	codeOutcomeUnknown = "fate_unknown"
 	codeTimeout        = "time_limit"
 	codeNodeFull       = "node_full"
--- a/src/gateway/crash.go
+++ b/src/gateway/crash.go
@@ -1,13 +1,8 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"net"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,8 +12,6 @@
 
 // Timing of crash checks.
 const (
-	crashDialTimeout   = 300 * time.Millisecond
-	probeHold          = 20 * time.Millisecond  // for which a new connection stays open if a server is behind it
 	crashWait          = 100 * time.Millisecond // for which a resend waits for the check
 	crashPollInterval  = 200 * time.Millisecond // while a server may be back later
 	crashPollPeriod    = 8 * time.Second
@@ -42,16 +35,16 @@
 // then back with a later start. A lost, spoiled or reset response, a partition and a
 // planned end of the server don't count.
 type crashDetector struct {
-	pool *upstreamPool
-	dial dialFunc
+	pool   *upstreamPool
+	prober *prober
 
 	watchPeriod time.Duration // for which a server that seems to run is watched
 	mu          sync.Mutex
 	checks      map[*upstream]*crashCheck // the latest of each server
 }
 
-func newCrashDetector(pool *upstreamPool) *crashDetector {
-	return &crashDetector{pool: pool, dial: (&net.Dialer{}).DialContext, watchPeriod: crashPollPeriod, checks: map[*upstream]*crashCheck{}}
+func newCrashDetector(pool *upstreamPool, prober *prober) *crashDetector {
+	return &crashDetector{pool: pool, prober: prober, watchPeriod: crashPollPeriod, checks: map[*upstream]*crashCheck{}}
 }
 
 // check returns the check of a server that is running or has just ended, or starts one. A
@@ -72,7 +65,7 @@
 	go func() {
 		defer close(c.done)
 		d.run(c, s)
-		d.setUnreachable(c, s, false)
+		c.unreachable.Store(false)
 		if c.crashed.Load() {
 			klog.InfoS("server_crashed", "server", s.id, "born", s.startedMS, "after_ms", clock.Since(c.started).Milliseconds())
 		}
@@ -90,9 +83,9 @@
 	}
 	c.findRestart(d.pool, s)
 	if !c.crashed.Load() && listed {
-		result := d.probe(s)
+		result := d.prober.probe(s.address)
 		c.crashed.Store(result == probeRefused)
-		d.setUnreachable(c, s, result != probeAccepted)
+		d.setUnreachable(c, s, result)
 	}
 	close(c.probed)
 	for !c.crashed.Load() && clock.Since(c.started) < d.watchPeriod {
@@ -102,15 +95,18 @@
 		}
 		c.findRestart(d.pool, s)
 		if !c.crashed.Load() && c.unreachable.Load() {
-			d.setUnreachable(c, s, d.probe(s) != probeAccepted)
+			d.setUnreachable(c, s, d.prober.probe(s.address))
 		}
 	}
 }
 
-// setUnreachable records whether a server can be reached: if not, it gets no requests.
-func (d *crashDetector) setUnreachable(c *crashCheck, s *upstream, unreachable bool) {
-	if c.unreachable.Swap(unreachable) != unreachable {
-		d.pool.setUnreachable(s, unreachable)
+// setUnreachable records whether a server closes connections: if so, it gets no requests until
+// a probe finds that it accepts them.
+func (d *crashDetector) setUnreachable(c *crashCheck, s *upstream, result probeResult) {
+	unreachable := result == probeRefused || result == probeClosed
+	c.unreachable.Store(unreachable)
+	if unreachable {
+		d.pool.markUnreachable(s)
 	}
 }
 
@@ -135,44 +131,6 @@
 	return c.restartedAt, !pool.respondedAfter(s, failedAt)
 }
 
-// probeResult is the result of an attempt to connect to a server.
-type probeResult int
-
-const (
-	probeAccepted probeResult = iota // or not known
-	probeRefused                     // the process is gone
-	probeClosed                      // accepted and closed at once, as by a proxy without its server
-)
-
-// probe connects to a server and waits a moment whether the connection stays open.
-func (d *crashDetector) probe(s *upstream) probeResult {
-	ctx, cancel := context.WithTimeout(context.Background(), crashDialTimeout)
-	defer cancel()
-	conn, err := d.dial(ctx, "tcp", s.address)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return probeRefused
-	case err != nil:
-		return probeAccepted
-	}
-	defer func() { _ = conn.Close() }()
-	if err := conn.SetReadDeadline(time.Now().Add(probeHold)); err != nil {
-		return probeClosed
-	}
-	if _, err := conn.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		return probeClosed
-	}
-	return probeAccepted
-}
-
-// setUnreachable records whether a server closes new connections at once.
-func (p *upstreamPool) setUnreachable(s *upstream, unreachable bool) {
-	p.mu.Lock()
-	s.unreachable = unreachable
-	p.mu.Unlock()
-	klog.InfoS("server_reachable", "server", s.id, "started_ms", s.startedMS, "reachable", !unreachable)
-}
-
 // status reports whether a server is draining, and whether it is listed. The end of a
 // server that is draining is no crash, and that of an unlisted one need not be.
 func (p *upstreamPool) status(s *upstream) (draining, listed bool) {
@@ -201,6 +159,7 @@
 func (p *upstreamPool) recordResponse(s *upstream) {
 	p.mu.Lock()
 	s.respondedAt = p.now()
+	s.heardAt = s.respondedAt
 	p.mu.Unlock()
 }
 
--- a/src/gateway/crash_test.go
+++ b/src/gateway/crash_test.go
@@ -43,9 +43,8 @@
 			pool.update([]traffic.Upstream{entry})
 			s := pool.byService["s"][0]
 			pool.update(c.later)
-			d := newCrashDetector(pool)
+			d := newCrashDetector(pool, &prober{dial: c.dial})
 			d.watchPeriod = time.Millisecond
-			d.dial = c.dial
 			check := d.check(s)
 			is.Equal(d.check(s), check) // one check for all requests that ended there
 			<-check.done
@@ -60,11 +59,10 @@
 	pool := newUpstreamPool(time.Now)
 	entry := traffic.Upstream{ID: "i-1", Service: "s", Address: "10.0.0.1:1", StartedMS: 1}
 	pool.update([]traffic.Upstream{entry})
-	d := newCrashDetector(pool)
-	d.dial = func(context.Context, string, string) (net.Conn, error) {
+	d := newCrashDetector(pool, &prober{dial: func(context.Context, string, string) (net.Conn, error) {
 		conn, other := net.Pipe()
 		return conn, other.Close()
-	}
+	}})
 	check := d.check(pool.byService["s"][0])
 	<-check.probed
 	is.True(!check.crashed.Load()) // a resend need not wait
--- a/src/gateway/debug.go
+++ b/src/gateway/debug.go
@@ -29,7 +29,7 @@
 	RestMS     int64  `json:"rest_ms"`     // left of its rest
 	EjectedMS  int64  `json:"ejected_ms"`  // left of its ejection
 	BackoffMS  int64  `json:"backoff_ms"`  // left of the backoff after a rejection
-	Closes     bool   `json:"closes"`      // new connections, at once
+	Unreached  bool   `json:"unreached"`   // this node cannot connect to it
 	UnlistedMS int64  `json:"unlisted_ms"` // since its entry has gone; 0 while it is listed
 }
 
@@ -43,11 +43,11 @@
 	for _, servers := range []map[string]*upstream{p.byID, p.unlisted} {
 		for _, s := range servers {
 			e := excludedServer{ID: s.id, StartedMS: s.startedMS, Draining: s.draining, Leaving: s.leaving,
-				RestMS: left(s.restUntil), EjectedMS: left(s.ejectedUntil), BackoffMS: left(s.backoffUntil), Closes: s.unreachable}
+				RestMS: left(s.restUntil), EjectedMS: left(s.ejectedUntil), BackoffMS: left(s.backoffUntil), Unreached: s.unreachable}
 			if !s.unlistedAt.IsZero() {
 				e.UnlistedMS = now.Sub(s.unlistedAt).Milliseconds()
 			}
-			if e.Draining || e.RestMS > 0 || e.EjectedMS > 0 || e.BackoffMS > 0 || e.Closes {
+			if e.Draining || e.RestMS > 0 || e.EjectedMS > 0 || e.BackoffMS > 0 || e.Unreached {
 				out = append(out, e)
 			}
 		}
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -163,9 +163,7 @@
 	switch result.outcome {
 	case outcomeNotSent:
 		n.limits.Refund(s.run())
-		if ctx.Err() == nil && !errors.Is(result.err, errServerResting) {
-			n.upstreams.recordFailure(s, true)
-		}
+		f.recordNotSent(ctx, s, result.err)
 		return false, result.err
 	case outcomeRefused:
 		if result.response.StatusCode == http.StatusMisdirectedRequest {
@@ -212,6 +210,18 @@
 	return true, nil
 }
 
+// recordNotSent records that no connection to a server was obtained.
+func (f *forwarder) recordNotSent(ctx context.Context, s *upstream, err error) {
+	n := f.node
+	switch {
+	case errors.Is(err, errServerUnreachable):
+		f.sends-- // nothing was tried
+		n.upstreams.recordNoConnection(s)
+	case ctx.Err() == nil && !errors.Is(err, errServerResting) && !n.upstreams.isUnreachable(s):
+		n.upstreams.recordFailure(s, true)
+	}
+}
+
 var (
 	errServerRefused = errors.New("server refused the request")
 	errServerFailed  = errors.New("server responded with a 5xx status")
@@ -300,11 +310,17 @@
 	case allRest:
 		return f.finish(ctx, codeServersResting, returnAfter(restWait, f.req.priority))
 	}
+	if f.node.upstreams.reach(f.req.service).none() {
+		return f.finish(ctx, codeUnreachable, request.JitterUp(unreachableRetryAfter))
+	}
 	return f.finish(ctx, codeNoServer, request.Jitter(noServerRetryAfter))
 }
 
 // finishFull ends a request that servers rejected and that may not be sent to another one.
 func (f *forwarder) finishFull(ctx context.Context) *refusal {
+	if f.node.upstreams.reach(f.req.service).none() {
+		return f.finish(ctx, codeUnreachable, request.JitterUp(unreachableRetryAfter))
+	}
 	if restWait, allRest := f.node.upstreams.restWait(f.req.service); allRest {
 		return f.finish(ctx, codeServersResting, returnAfter(restWait, f.req.priority))
 	}
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -76,6 +76,7 @@
 	scaler        *scaler               // demand data from which the orders are computed
 	cacheTracker  *cacheTracker
 	stalledConns  stalledConnDetector
+	prober        *prober
 	crashes       *crashDetector
 	quarantine    *quarantine.List       // requests suspected of crashing servers
 	suspectRuns   suspectRuns            // copies of them in progress
@@ -111,7 +112,8 @@
 		retryBudget: request.NewWindowBudget(settings.Retries.Ratio, settings.Retries.Extra, settings.Retries.Window, settings.FirstStart),
 		ledger:      duty.NewLedger(), metrics: metrics, scaler: newScaler(), quarantine: quarantine.NewList(clock.Now), limits: admit.NewUpstreamLimiter(settings.Node), cacheTracker: newCacheTracker(clock.Now), startedAt: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	n.crashes = newCrashDetector(n.upstreams)
+	n.prober = newProber()
+	n.crashes = newCrashDetector(n.upstreams, n.prober)
 	n.usage = newUsageCounter(settings.Duties.UsageWindow, n.clusterTime)
 	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.localRecord, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAllRecords: n.holdsLease, OnStalledConn: n.onStalledConn, RaiseIncarnation: n.raiseIncarnation, OnSuspects: n.applyReports}
 	n.incarnation.Store(now.UnixMicro())
@@ -136,6 +138,7 @@
 			return float64(complete)
 		}),
 		n.metrics.Gauge("members", "nodes among which limits are divided", func() float64 { return float64(n.roster.Count()) }),
+		n.metrics.Gauge("unreachable_servers", "listed servers that this node cannot connect to", func() float64 { return float64(n.upstreams.unreachableCount()) }),
 		n.metrics.Gauge("open_requests", "requests of clients in progress", func() float64 { return float64(n.openRequests.Load()) }),
 		n.metrics.Gauge("duty_held", "1 while this node may act for the system", func() float64 {
 			if n.holdsLease() {
@@ -177,6 +180,7 @@
 	go process.Every(background, stepInterval, n.applyPeerState)
 	go n.storeCheckLoop(background)
 	go n.recordStart(background)
+	go process.Every(background, reachInterval, n.reachStep)
 	go process.Every(background, stepInterval, func() { n.storeSuspects(background) })
 	go n.stalledWatchLoop(background)
 	registering, stopRegistering := context.WithCancel(background)
--- a/src/gateway/rest.go
+++ b/src/gateway/rest.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -97,23 +95,10 @@
 	return wait + time.Duration(rank)*part + rand.N(part)
 }
 
-// dialUnlessResting returns a dial function for connections to a server. Connecting may take
-// long enough for the server to ask for rest in the meantime.
-func (p *upstreamPool) dialUnlessResting(s *upstream) dialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := p.dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		p.mu.Lock()
-		resting := s.resting(p.now())
-		p.mu.Unlock()
-		if resting {
-			_ = c.Close()
-			return nil, errServerResting
-		}
-		return c, nil
-	}
+func (p *upstreamPool) isResting(s *upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return s.resting(p.now())
 }
 
 // resting reports whether the server has asked this node to send it nothing now. The
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -81,6 +81,7 @@
 		return sendResult{outcome: outcomeUnknown, err: err, cancel: cancel}
 	}
 	n.upstreams.recordResponse(s)
+	resp.Body = &heardReader{ReadCloser: resp.Body, heard: func() { n.upstreams.heard(s) }}
 	n.upstreams.recordKeepAlive(s, resp.Header)
 	id := resp.Header.Get(n.headers.RequestID)
 	declined := resp.Header.Get(n.headers.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
@@ -155,6 +156,21 @@
 	return out
 }
 
+// heardReader calls heard whenever bytes have arrived.
+type heardReader struct {
+	io.ReadCloser
+	heard func()
+}
+
+// Read implements io.Reader.
+func (r *heardReader) Read(buffer []byte) (int, error) {
+	count, err := r.ReadCloser.Read(buffer)
+	if count > 0 {
+		r.heard()
+	}
+	return count, err
+}
+
 // onceReader hides the type of its reader, so that net/http cannot rewind it.
 type onceReader struct{ io.Reader }
 
--- a/src/gateway/suspect.go
+++ b/src/gateway/suspect.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		listed++
-		if !s.unreachable && !s.resting(now) && !now.Before(s.ejectedUntil) {
+		if s.usable() && !s.resting(now) && !now.Before(s.ejectedUntil) {
 			usable++
 		}
 	}
--- a/src/gateway/upstreams.go
+++ b/src/gateway/upstreams.go
@@ -60,7 +60,12 @@
 	failureRate         float64
 	ejectedUntil        time.Time
 	ejection            time.Duration
-	unreachable         bool       // it closes new connections at once
+	unreachable         bool // this node cannot connect to it
+	unreachableSince    time.Time
+	heardAt             time.Time     // when something came from it last
+	probeAt             time.Time     // if unreachable, when it is probed next
+	probeInterval       time.Duration // between two probes
+	probeRunning        bool
 	restUntil           time.Time  // end of the latest rest that the server has asked for
 	rejections          int        // in a row
 	backoffUntil        time.Time  // after a rejection, until which other servers are preferred
@@ -214,7 +219,7 @@
 		idleTimeout = defaultIdleTimeout
 	}
 	return &http.Transport{
-		DialContext: p.dialUnlessResting(s), MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout,
+		DialContext: p.dialServer(s), MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout,
 		DisableCompression: true, MaxResponseHeaderBytes: 64 << 10,
 	}
 }
@@ -356,7 +361,7 @@
 	out := make([]candidate, 0, len(all))
 	var ejected []candidate
 	for _, s := range all {
-		if s.draining || excluded[s.id] || s.resting(now) || s.unreachable {
+		if s.draining || excluded[s.id] || s.resting(now) || !s.usable() {
 			continue
 		}
 		c := candidate{upstream: s, id: s.id, domain: s.entry.FailureDomain, slots: s.entry.Slots, failureRate: s.failureRate,
--- a/test/server_link_test.go
+++ b/test/server_link_test.go
@@ -293,12 +293,12 @@
 			if got, want := answers(open), mode == cutNewOnly; got != want {
 				t.Errorf("open connection works: %t", got)
 			}
-			fresh, err := net.DialTimeout("tcp", address, 300*time.Millisecond)
+			_, err = net.DialTimeout("tcp", address, 300*time.Millisecond)
 			if got, want := err == nil, mode == cutOldOnly; got != want {
 				t.Errorf("new connection: %v", err)
 			}
 			links.heal()
-			if fresh, err = net.DialTimeout("tcp", address, 300*time.Millisecond); err != nil || !answers(fresh) {
+			if fresh, err := net.DialTimeout("tcp", address, 300*time.Millisecond); err != nil || !answers(fresh) {
 				t.Errorf("after the cut: %v", err)
 			}
 		})
