gateway: a node that reaches no server forwards requests to one that does

Cause: there was no way to a server but the node's own; nodes exchanged state, never a request. Ruled out as sufficient: leaving the directory (callers keep an answer for up to three times its time) and an earlier refusal (the first try has failed). A node that reaches less than half of a service's servers forwards requests, over the peers' address, to a node whose record names a better reach: all of them if it reaches none, otherwise the part that its own servers would be too few for. One rule: the node that sends to servers does everything (key, limit, retry budget, usage, suspects), as if the client had come to it; the first one carries bytes, and takes back what it has charged. A forwarded request is never forwarded again; it carries the version of the first node's configuration, and the runs it has had, which count as attempts. What a node did not run goes to the next node; what it may have run follows the same rules as after a server.

--- a/src/cluster/members.go
+++ b/src/cluster/members.go
@@ -15,7 +15,7 @@
 
 // Limits on the time since a node was last heard from.
 const (
-	aliveTimeout   = 2 * time.Second        // clients are sent to the node, and Direct includes it, until then
+	AliveTimeout   = 2 * time.Second        // clients are sent to the node, and Direct includes it, until then
 	silenceTimeout = 600 * time.Millisecond // the node is silent after that
 	countedTimeout = 10 * time.Second       // Count, AllHeard and summaries include the node until then
 	forgetTimeout  = 60 * time.Second       // the node's record is dropped after that
@@ -103,7 +103,7 @@
 	defer m.mu.Unlock()
 	var out []Member
 	for name, at := range m.direct {
-		if m.now().Sub(at) > aliveTimeout {
+		if m.now().Sub(at) > AliveTimeout {
 			delete(m.direct, name)
 			continue
 		}
@@ -203,7 +203,7 @@
 
 // Alive returns the records of the other nodes that clients may be sent to.
 func (m *Members) Alive() []*Record {
-	return slices.DeleteFunc(m.Others(aliveTimeout), func(r *Record) bool { return r.Leaving || !r.Ready })
+	return slices.DeleteFunc(m.Others(AliveTimeout), func(r *Record) bool { return r.Leaving || !r.Ready })
 }
 
 // Count returns the number of nodes, including this one, heard from within
--- a/src/cluster/members_test.go
+++ b/src/cluster/members_test.go
@@ -45,7 +45,7 @@
 	m.Merge(&Record{Node: "c", Sequence: 1})
 	is.Equal(len(m.Alive()), 1)
 	is.True(m.AllHeard())
-	now = now.Add(aliveTimeout + time.Millisecond)
+	now = now.Add(AliveTimeout + time.Millisecond)
 	is.Equal(len(m.Alive()), 0)
 	is.Equal(m.Count(), 4) // silent nodes are counted until countedTimeout
 	is.True(!m.AllHeard())
@@ -119,15 +119,15 @@
 	b.Members.Merge(gone) // heard later, so also forgotten later
 	for range 300 {
 		now = now.Add(500 * time.Millisecond)
-		a.Members.Others(aliveTimeout)
-		b.Members.Others(aliveTimeout)
+		a.Members.Others(AliveTimeout)
+		b.Members.Others(AliveTimeout)
 		for _, pair := range [][2]*Node{{a, b}, {b, a}} {
 			reply, err := pair[1].Exchange(context.Background(), pair[0].newRequest(Scope_LACKING))
 			is.NoErr(err)
 			pair[0].mergeMessage(reply, now)
 		}
 		for _, r := range append(a.Members.Alive(), b.Members.Alive()...) {
-			if r.Node == "gone" && now.After(time.Unix(1000, 0).Add(2*aliveTimeout)) {
+			if r.Node == "gone" && now.After(time.Unix(1000, 0).Add(2*AliveTimeout)) {
 				t.Fatalf("still offered to clients %s after it was last heard from", now.Sub(time.Unix(1000, 0)))
 			}
 		}
@@ -139,8 +139,8 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	m := NewMembers("self", func() time.Time { return now })
-	m.MergeAged(&Record{Node: "silent", Incarnation: 1, Sequence: 5, Ready: true}, 3*aliveTimeout)
-	m.MergeAged(&Record{Node: "heard", Incarnation: 1, Sequence: 5, Ready: true}, aliveTimeout/2)
+	m.MergeAged(&Record{Node: "silent", Incarnation: 1, Sequence: 5, Ready: true}, 3*AliveTimeout)
+	m.MergeAged(&Record{Node: "heard", Incarnation: 1, Sequence: 5, Ready: true}, AliveTimeout/2)
 	is.Equal(len(m.Alive()), 1)
 	is.Equal(len(m.Others(countedTimeout)), 2) // silent nodes are counted until countedTimeout
 	is.True(!m.MergeAged(&Record{Node: "long gone", Incarnation: 1}, forgetTimeout))
--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -153,7 +153,7 @@
 		out.records[name] = r
 		out.suspects = append(out.suspects, r.Suspects...)
 		out.limits = append(out.limits, r.Limits...)
-		if age <= aliveTimeout {
+		if age <= AliveTimeout {
 			out.interruptions = append(out.interruptions, r.Interruptions...)
 			if r.Ready && !r.Leaving {
 				out.clientAddresses = append(out.clientAddresses, r.Callers)
--- /dev/null
+++ b/src/gateway/accept_forwarded.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/crankridge/crankridge/src/clock"
+)
+
+// serveForwarded handles a request that another node has forwarded, as it reaches no server
+// itself. It is served as if the client had sent it here: this node checks the key, charges the
+// customer's limit and the retry budget, counts the usage and sends it to servers.
+func (n *Node) serveForwarded(w http.ResponseWriter, r *http.Request) {
+	n.openRequests.Add(1)
+	defer n.openRequests.Add(-1)
+	if refused := n.acceptForwarded(w, r); refused != nil {
+		w.Header().Set(headerRefused, refused.code)
+		n.writeRefusal(w, r, refused)
+	}
+}
+
+func (n *Node) acceptForwarded(w http.ResponseWriter, r *http.Request) *refusal {
+	arrived := clock.Now()
+	version, runs, ok := takeForwardHeaders(r)
+	switch {
+	case !ok || !n.isNodeAddress(r.RemoteAddr):
+		return &refusal{status: http.StatusForbidden, code: codeNotNode}
+	case n.stopping():
+		return &refusal{status: http.StatusServiceUnavailable, code: codeStopping, closeConn: true}
+	case n.version() < version:
+		return &refusal{status: http.StatusServiceUnavailable, code: codeOutdated}
+	}
+	r.RequestURI = r.URL.RequestURI() // as the client sent it
+	req, refused := n.parseRequest(w, r, arrived)
+	if refused != nil {
+		return refused
+	}
+	req.forwarded, req.earlierRuns = true, runs
+	return n.admit(w, req)
+}
+
+// takeForwardHeaders removes the headers between nodes from a request and returns their values.
+func takeForwardHeaders(r *http.Request) (version int64, runs int, ok bool) {
+	version, versionErr := strconv.ParseInt(r.Header.Get(headerConfigVersion), 10, 64)
+	runs, runsErr := strconv.Atoi(r.Header.Get(headerRuns))
+	r.Header.Del(headerConfigVersion)
+	r.Header.Del(headerRuns)
+	return version, runs, versionErr == nil && runsErr == nil && runs >= 0
+}
+
+// isNodeAddress reports whether a remote address belongs to the machine of a known node.
+func (n *Node) isNodeAddress(remote string) bool {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return false
+	}
+	for _, m := range n.members.All() {
+		if sameHost(m.Record.Peers, host) {
+			return true
+		}
+	}
+	for _, e := range n.roster.Entries() {
+		if sameHost(e.Peers, host) {
+			return true
+		}
+	}
+	return false
+}
+
+// sameHost reports whether an address, host:port, is at the given host.
+func sameHost(address, host string) bool {
+	at, _, err := net.SplitHostPort(address)
+	return err == nil && at == host
+}
--- a/src/gateway/client_request.go
+++ b/src/gateway/client_request.go
@@ -30,6 +30,8 @@
 	hasTokenCount bool
 	priority      int
 	digest        quarantine.Digest // computed by requestDigest when first needed
+	forwarded     bool              // by another node, which reaches no server
+	earlierRuns   int               // of a forwarded request, at other servers or nodes
 	trialVersion  string            // if the request is quarantined: version of the servers that it may be tried at
 }
 
@@ -56,6 +58,8 @@
 	codeNoServer       = "no_server"
 	codeServersFull    = "servers_full"
 	codeUnreachable    = "servers_unreachable"
+	codeNotNode        = "not_a_node"
+	codeOutdated       = "configuration_outdated"
 	codeOutcomeUnknown = "fate_unknown"
 	codeTimeout        = "time_limit"
 	codeNodeFull       = "node_full"
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -33,14 +33,18 @@
 	req             *clientRequest
 	response        *clientResponse
 	excluded        map[string]bool
-	sends           int // sends attempted
-	reached         int // sends that reached a server, or may have
-	runs            int // sends that a server executed, or may have
-	crashes         int // of these, those that ended because the server is gone
+	sends           int  // sends attempted
+	reached         int  // sends that reached a server, or may have
+	runs            int  // sends that a server executed, or may have
+	crashes         int  // of these, those that ended because the server is gone
+	counted         bool // among the requests that this node sends to servers
 	usageCounted    bool
-	pendingPrefill  int64     // tokens counted in the current server's backlog
-	executed        bool      // the current server executes the request, or may
-	sentAt          time.Time // to the current server
+	refunded        bool            // the customer's limit is not charged for the request
+	unconnected     int             // servers that this request could not connect to
+	triedPeers      map[string]bool // nodes that it was forwarded to
+	pendingPrefill  int64           // tokens counted in the current server's backlog
+	executed        bool            // the current server executes the request, or may
+	sentAt          time.Time       // to the current server
 	progressAt      time.Time
 	gotFirstEvent   bool // from the current server
 	lastEventAt     time.Time
@@ -54,12 +58,25 @@
 func (n *Node) forward(w http.ResponseWriter, req *clientRequest) *refusal {
 	ctx, cancel := clock.WithDeadline(req.request.Context(), req.deadline)
 	defer cancel()
-	f := &forwarder{node: n, req: req, response: &clientResponse{writer: w}, excluded: map[string]bool{}}
-	n.retryBudget.Earn(req.service, req.arrived.Sub(n.startedAt))
-	if ownTokens := req.ownTokens(); ownTokens > 0 {
-		n.scaler.meter(req.service).RecordPrompt(ownTokens, req.arrived)
-	}
+	f := &forwarder{node: n, req: req, response: &clientResponse{writer: w}, excluded: map[string]bool{}, triedPeers: map[string]bool{}}
+	f.counted, f.usageCounted = req.earlierRuns > 0, req.earlierRuns > 0
 	for {
+		if to, ok := f.nextPeer(); ok {
+			if f.reached > 0 && !f.spendRetryBudget() {
+				return f.finishFull(ctx)
+			}
+			if done, refused := f.tryPeer(ctx, to); done || refused != nil {
+				return refused
+			}
+			if ctx.Err() != nil {
+				return f.finish(ctx, codeTimeout, 0)
+			}
+			if !f.mayResend() {
+				return f.finishFull(ctx)
+			}
+			continue
+		}
+		f.count()
 		standing := n.standing(req)
 		switch {
 		case standing.Quarantined && req.trialVersion == "":
@@ -99,6 +116,28 @@
 	}
 }
 
+// count counts the request for the retry budget and the demand of its service, once. Of a
+// forwarded request the node does so that sends it to servers.
+func (f *forwarder) count() {
+	if f.counted {
+		return
+	}
+	f.counted = true
+	n, req := f.node, f.req
+	n.retryBudget.Earn(req.service, req.arrived.Sub(n.startedAt))
+	if ownTokens := req.ownTokens(); ownTokens > 0 {
+		n.scaler.meter(req.service).RecordPrompt(ownTokens, req.arrived)
+	}
+}
+
+// refundQuota takes back what the request was charged to its customer's limit.
+func (f *forwarder) refundQuota() {
+	if req := f.req; !f.refunded && req.customer != nil {
+		f.refunded = true
+		f.node.quota.Refund(req.customer.Name, req.quotaCost())
+	}
+}
+
 // spendRetryBudget takes one retry from the budget and reports whether it was granted.
 func (f *forwarder) spendRetryBudget() bool {
 	n := f.node
@@ -120,7 +159,7 @@
 	case f.response.headerSent && (!f.req.route.Resumable || f.response.lastEventID == ""):
 		return false
 	}
-	attempts := f.runs - min(f.crashes, maxFreeResends)
+	attempts := f.req.earlierRuns + f.runs - min(f.crashes, maxFreeResends)
 	return f.req.route.Retryable() && attempts < f.req.route.MaxAttempts
 }
 
@@ -217,7 +256,9 @@
 	case errors.Is(err, errServerUnreachable):
 		f.sends-- // nothing was tried
 		n.upstreams.recordNoConnection(s)
-	case ctx.Err() == nil && !errors.Is(err, errServerResting) && !n.upstreams.isUnreachable(s):
+	case n.upstreams.isUnreachable(s):
+		f.unconnected++
+	case ctx.Err() == nil && !errors.Is(err, errServerResting):
 		n.upstreams.recordFailure(s, true)
 	}
 }
@@ -332,8 +373,8 @@
 // response, or returns a refusal.
 func (f *forwarder) finish(ctx context.Context, code string, retryAfter time.Duration) *refusal {
 	req := f.req
-	if f.runs == 0 && req.customer != nil {
-		f.node.quota.Refund(req.customer.Name, req.quotaCost())
+	if f.runs == 0 {
+		f.refundQuota()
 	}
 	if req.request.Context().Err() != nil || f.response.headerSent {
 		f.log("broken_off", "", ctx.Err())
@@ -359,7 +400,7 @@
 // log logs the end of a send or of the request. A success at the first send is
 // logged at verbosity 1 only.
 func (f *forwarder) log(what, server string, err error) {
-	if err == nil && f.sends == 1 && !klog.V(1).Enabled() {
+	if err == nil && f.sends <= 1 && !klog.V(1).Enabled() {
 		return
 	}
 	klog.InfoS("request", "id", f.req.id, "what", what, "server", server, "route", f.req.route.Name, "kind", f.req.route.Kind, "digest", f.req.requestDigest(),
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -77,6 +77,7 @@
 	cacheTracker  *cacheTracker
 	stalledConns  stalledConnDetector
 	prober        *prober
+	forwardPeers  *forwardPeers // nodes to forward requests to
 	crashes       *crashDetector
 	quarantine    *quarantine.List       // requests suspected of crashing servers
 	suspectRuns   suspectRuns            // copies of them in progress
@@ -113,6 +114,7 @@
 		ledger:      duty.NewLedger(), metrics: metrics, scaler: newScaler(), quarantine: quarantine.NewList(clock.Now), limits: admit.NewUpstreamLimiter(settings.Node), cacheTracker: newCacheTracker(clock.Now), startedAt: now, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	n.prober = newProber()
+	n.forwardPeers = newForwardPeers()
 	n.crashes = newCrashDetector(n.upstreams, n.prober)
 	n.usage = newUsageCounter(settings.Duties.UsageWindow, n.clusterTime)
 	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.localRecord, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAllRecords: n.holdsLease, OnStalledConn: n.onStalledConn, RaiseIncarnation: n.raiseIncarnation, OnSuspects: n.applyReports}
@@ -207,12 +209,13 @@
 	handlers := map[string]*mux.Router{n.initial.Listen.Callers: callers}
 	routerFor := func(address string) *mux.Router {
 		if handlers[address] == nil {
-			handlers[address] = mux.NewRouter()
+			handlers[address] = mux.NewRouter().SkipClean(true).UseEncodedPath()
 		}
 		return handlers[address]
 	}
 	routerFor(n.initial.Listen.Peers).PathPrefix(cluster.ClusterPathPrefix).Handler(n.peers.Handler())
 	routerFor(n.initial.Listen.Peers).HandleFunc("/debug/state", n.debugState)
+	routerFor(n.initial.Listen.Peers).PathPrefix(forwardPrefix + "/").Handler(http.StripPrefix(forwardPrefix, http.HandlerFunc(n.serveForwarded)))
 	if n.initial.Listen.Metrics != "" {
 		routerFor(n.initial.Listen.Metrics).Handle("/metrics", n.metrics.Handler())
 	}
@@ -263,6 +266,11 @@
 	if refused != nil {
 		return refused
 	}
+	return n.admit(w, req)
+}
+
+// admit checks whether a valid request may be served now, and forwards it.
+func (n *Node) admit(w http.ResponseWriter, req *clientRequest) *refusal {
 	if refused := n.checkQuarantine(req); refused != nil {
 		return refused
 	}
@@ -322,6 +330,7 @@
 func (n *Node) onStalledConn(peer string) {
 	widespread := n.stalledConns.record(peer, n.roster.Count()-1, clock.Now())
 	klog.InfoS("connections_silent", "peer", peer, "general", widespread)
+	n.forwardPeers.transport.CloseIdleConnections()
 	if widespread {
 		n.upstreams.closeIdleConnections()
 	}
--- a/src/gateway/reach.go
+++ b/src/gateway/reach.go
@@ -116,6 +116,14 @@
 // none reports whether there are servers and this node reaches none.
 func (r reach) none() bool { return r.listed > 0 && r.reached == 0 }
 
+// share returns the part of the servers that this node reaches, 1 if there are none.
+func (r reach) share() float64 {
+	if r.listed == 0 {
+		return 1
+	}
+	return float64(r.reached) / float64(r.listed)
+}
+
 // reach returns how many of the servers of a service that are not draining this node reaches.
 func (p *upstreamPool) reach(service string) reach {
 	p.mu.Lock()
@@ -136,6 +144,19 @@
 	return out
 }
 
+// poorReaches returns the services of which this node reaches less than poorReach of the servers.
+func (p *upstreamPool) poorReaches() map[string]reach {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]reach{}
+	for service := range p.byService {
+		if r := p.reachLocked(service); r.share() < poorReach {
+			out[service] = r
+		}
+	}
+	return out
+}
+
 // logReach logs the reach of a service. The caller holds the lock.
 func (p *upstreamPool) logReach(service string) {
 	r := p.reachLocked(service)
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -42,6 +42,7 @@
 	header := r.writer.Header()
 	upstreamHeader := resp.Header.Clone()
 	removeHopByHopHeaders(upstreamHeader)
+	upstreamHeader.Del(headerRefused) // only a node says so
 	for name, values := range upstreamHeader {
 		header[name] = values
 	}
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -112,22 +113,35 @@
 
 const maxDrainBytes = 4 << 10
 
-// upstreamRequest builds the request to a server. net/http must not retry it on
+// upstreamRequest builds the request to a server.
+func (n *Node) upstreamRequest(ctx context.Context, req *clientRequest, s *upstream, lastEventID string) *http.Request {
+	target := *req.request.URL
+	target.Scheme, target.Host = "http", s.address
+	out := n.outgoingRequest(ctx, req, &target, lastEventID)
+	for _, name := range []string{n.headers.Customer, n.headers.ContinueFrom, n.headers.FetchFrom} {
+		out.Header.Del(name)
+	}
+	if n.table.Load().RequiresKey() {
+		out.Header.Del("Authorization")
+	}
+	if req.customer != nil {
+		out.Header.Set(n.headers.Customer, req.customer.Name)
+	}
+	out.Header.Set(n.headers.ExpectInstance, s.id)
+	return out
+}
+
+// outgoingRequest builds the request to a server or node. net/http must not retry it on
 // its own once it has been written: the body cannot be rewound, and the headers that
 // mark a request as idempotent are sent under a non-canonical name.
-func (n *Node) upstreamRequest(ctx context.Context, req *clientRequest, s *upstream, lastEventID string) *http.Request {
+func (n *Node) outgoingRequest(ctx context.Context, req *clientRequest, target *url.URL, lastEventID string) *http.Request {
 	in := req.request
-	target := *in.URL
-	target.Scheme, target.Host = "http", s.address
 	out := (&http.Request{
-		Method: in.Method, URL: &target, Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: in.Method, URL: target, Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: in.Header.Clone(),
 	}).WithContext(ctx)
 	removeHopByHopHeaders(out.Header)
-	for _, name := range []string{"Authorization", "Expect", "Content-Length", n.headers.Customer, n.headers.ContinueFrom, n.headers.FetchFrom} {
-		if name == "Authorization" && !n.table.Load().RequiresKey() {
-			continue
-		}
+	for _, name := range []string{"Expect", "Content-Length"} {
 		out.Header.Del(name)
 	}
 	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
@@ -139,10 +153,6 @@
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	if req.customer != nil {
-		out.Header.Set(n.headers.Customer, req.customer.Name)
-	}
-	out.Header.Set(n.headers.ExpectInstance, s.id)
 	remaining := max(clock.Until(req.deadline), time.Millisecond)
 	out.Header.Set(n.headers.DeadlineMs, strconv.FormatInt(remaining.Milliseconds(), 10))
 	if lastEventID != "" {
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -42,6 +42,7 @@
 	}
 	r.Suspects, r.Interruptions = n.reportSuspects(), n.reportInterruptions()
 	r.Limits = n.reportLimits()
+	r.Reach = n.reportReach()
 	r.Demands = n.scaler.demands(clock.Now())
 	return r
 }
--- a/src/telemetry/gateway.go
+++ b/src/telemetry/gateway.go
@@ -15,6 +15,7 @@
 	inst           *instruments
 	requests       metric.Int64Counter
 	sends          metric.Int64Counter
+	forwards       metric.Int64Counter
 	refusals       metric.Int64Counter
 	retries        metric.Int64Counter
 	retryNodes     metric.Int64Gauge
@@ -37,6 +38,7 @@
 		inst:           inst,
 		requests:       inst.counter("requests", "answers to clients, by route and status"),
 		sends:          inst.counter("sends", "requests sent to servers, by service and fate; all but the first of a request are retries"),
+		forwards:       inst.counter("forwards", "requests forwarded to other nodes, by service and fate"),
 		refusals:       inst.counter("refusals", "answers of the gateway's own, by code"),
 		retries:        inst.counter("retries", "repeated sends that the retry budget granted or refused, by service"),
 		retryNodes:     inst.gauge("retry_nodes", "nodes among which the retry budget was divided last, by service"),
@@ -81,6 +83,11 @@
 	g.sends.Add(context.Background(), 1, attrs("service", service, "fate", outcome))
 }
 
+// Forwarded counts a request forwarded to another node, by service and outcome.
+func (g *GatewayMetrics) Forwarded(service, outcome string) {
+	g.forwards.Add(context.Background(), 1, attrs("service", service, "fate", outcome))
+}
+
 // Retry counts a decision of the retry budget and records the number of nodes
 // among which the budget was divided.
 func (g *GatewayMetrics) Retry(service string, granted bool, nodes int) {
--- a/test/server_cut_test.go
+++ b/test/server_cut_test.go
@@ -1,8 +1,12 @@
 package test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -178,3 +182,163 @@
 	is.True(tries.slowest < 100*time.Millisecond)
 	is.Equal(tries.others["503 servers_unreachable\n<nil>"], tries.sent)
 }
+
+// cutOffNode returns a testbed of one server and two nodes, of which the first reaches no
+// server and has forwarded a request to the second.
+func cutOffNode(t *testing.T) (b *gatewayTestbed, cut, other *gatewayNode, server *fake.Server) {
+	b, nodes, servers := newCutBed(t, 2, 1)
+	nodes[0].links.cut(cutReset)
+	b.waitServing(nodes[0], "forwarded")
+	return b, nodes[0], nodes[1], servers[0]
+}
+
+// Guards against forwarded requests that reach a server changed, or with what only nodes tell
+// each other.
+func TestForwardedRequestIsUnchanged(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	_, cut, _, server := cutOffNode(t)
+	for i, path := range []string{"/once/a%2Fb/../c//d?q=1&r=%20", "/repeat/x?"} {
+		id := fmt.Sprint("unchanged-", i)
+		got := cut.send(gatewayRequest{method: http.MethodPost, path: path, id: id, body: "body"})
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(got.header.Get("Server-Stamp"), server.ID)
+		runs := server.Runs()
+		last := runs[len(runs)-1]
+		is.Equal(last.ID, id)
+		is.Equal(last.Path, path)
+		is.Equal(last.Body, "body")
+		is.Equal(last.Customer, testCustomer)
+		is.Equal(last.Authorization, "")
+		for name := range last.Header {
+			is.True(!strings.HasPrefix(name, "Crankridge-"))
+		}
+	}
+}
+
+// Guards against callers that reach a server, or escape a check, through the way by which nodes
+// forward requests to each other.
+func TestCallersCannotForgeForwardedRequests(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	b := newGatewayTestbed(t)
+	server := b.startServer("i-1")
+	n := b.startNodes(2)[0]
+	count := len(server.Runs())
+	forged := map[string]string{"Crankridge-Config-Version": "0", "Crankridge-Runs": "0"}
+	is.Equal(n.send(gatewayRequest{method: http.MethodGet, path: "/forward/repeat/x", id: "f-1", header: forged}).status, http.StatusNotFound)
+	peers := &gatewayNode{settings: n.settings}
+	peers.settings.Listen.Callers = n.settings.Listen.Peers
+	wrongKey := map[string]string{"Authorization": "Bearer forged", "Tenant": testCustomer}
+	maps.Copy(wrongKey, forged)
+	is.Equal(peers.send(gatewayRequest{method: http.MethodGet, path: "/forward/repeat/x", id: "f-2", header: wrongKey}).status, http.StatusUnauthorized)
+	is.Equal(peers.send(gatewayRequest{method: http.MethodGet, path: "/forward/repeat/x", id: "f-3"}).status, http.StatusForbidden)
+	is.Equal(len(server.Runs()), count)
+}
+
+// Guards against a request whose caller has left and that a server works on, two nodes away.
+func TestForwardedRequestEndsWithItsCaller(t *testing.T) {
+	t.Parallel() // mostly waits
+	b, cut, _, server := cutOffNode(t)
+	server.SetBehavior(fake.Unresponsive)
+	ctx, leave := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+cut.settings.Listen.Callers+"/repeat/x", nil)
+	b.is.NoErr(err)
+	req.Host = testHost
+	req.Header.Set("Request-Id", "leaves")
+	req.Header.Set("Authorization", "Bearer "+testAPIKey)
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	b.eventually("the server runs the request", func() bool {
+		runs := server.Runs()
+		return runs[len(runs)-1].ID == "leaves"
+	})
+	leave()
+	left := time.Now()
+	b.eventually("the server learns that the caller has left", func() bool { return server.ClientDisconnects() > 0 })
+	b.is.True(time.Since(left) < 500*time.Millisecond)
+}
+
+// Guards against requests that are lost, or run twice, when the node in between stops, or is
+// itself cut off from the servers.
+func TestNodeInBetweenMayStopOrBeCutOff(t *testing.T) {
+	t.Parallel() // mostly waits
+	for name, end := range map[string]func(*gatewayNode){
+		"stop": func(n *gatewayNode) { n.stop() },
+		"cut":  func(n *gatewayNode) { n.links.cut(cutNewOnly) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			_, nodes, servers := newCutBed(t, 3, cutServers)
+			for _, s := range servers {
+				s.SetSlots(100, 100*time.Millisecond)
+			}
+			nodes[0].links.cut(cutReset)
+			time.Sleep(time.Second)
+			tries := sendFirstTries(nodes[0], "between", 4*cutClients)
+			time.Sleep(time.Second)
+			end(nodes[1])
+			time.Sleep(2 * time.Second)
+			tries.end()
+			t.Log(tries)
+			is.True(mostRuns(servers) <= 1)
+			is.Equal(tries.served, tries.sent)
+		})
+	}
+}
+
+// Guards against forwarded requests that are charged to their customer's limit at both nodes.
+func TestForwardedRequestIsChargedOnce(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	b := newGatewayTestbed(t)
+	b.linked = true
+	b.config["Tenants"] = []any{map[string]any{"Name": testCustomer, "ApiKeys": []string{testAPIKey}, "RatePerS": 1000, "Burst": 1000}}
+	b.writeConfig()
+	b.startServer("i-1")
+	nodes := b.startNodes(2)
+	nodes[0].links.cut(cutReset)
+	b.waitServing(nodes[0], "forwarded")
+	time.Sleep(time.Second) // records of the requests so far
+	before := admittedTotal(b, nodes)
+	const count = 50
+	for i := range count {
+		is.Equal(nodes[0].send(gatewayRequest{method: http.MethodGet, path: "/repeat/x", id: fmt.Sprint("charged-", i)}).status, http.StatusOK)
+	}
+	b.eventually("the nodes have charged all requests", func() bool { return admittedTotal(b, nodes) >= before+count })
+	time.Sleep(time.Second) // further records
+	is.Equal(admittedTotal(b, nodes), before+count)
+}
+
+// admittedTotal returns what all nodes have charged to the customer, by their own records.
+func admittedTotal(b *gatewayTestbed, nodes []*gatewayNode) (total float64) {
+	for _, n := range nodes {
+		var state struct {
+			Node    string
+			Members []struct {
+				Record struct {
+					Node     string
+					Admitted []struct{ Total float64 }
+				}
+			}
+		}
+		resp, err := http.Get("http://" + n.settings.Listen.Peers + "/debug/state")
+		b.is.NoErr(err)
+		b.is.NoErr(json.NewDecoder(resp.Body).Decode(&state))
+		_ = resp.Body.Close()
+		for _, m := range state.Members {
+			if m.Record.Node != state.Node {
+				continue
+			}
+			for _, tally := range m.Record.Admitted {
+				total += tally.Total
+			}
+		}
+	}
+	return total
+}
