gateway: open connections that have gone silent are found out before requests wait for them

Where a partition drops packets, or only open connections hang, callers waited until their time limit for requests on kept connections, and the cut became known only by new connections. Cause: nothing looked at what comes back; a request on a kept connection waited for the 4 s of the kernel, or its own limit. Where requests wait and no server of a service has sent anything for 0.5 s, up to three are probed, the others only if none accepts: then all are marked unreachable, and requests are forwarded. If new connections work, idle ones are closed. One slow or silent server starts nothing while another one is heard from. After a second without any server, sends that may be repeated are given up if another node reaches the service; what may run once keeps waiting for its outcome.

--- a/src/gateway/crash.go
+++ b/src/gateway/crash.go
@@ -155,11 +155,15 @@
 	return 0, false
 }
 
-// recordResponse records that a server has sent the header of a response.
-func (p *upstreamPool) recordResponse(s *upstream) {
+// recordResponse records that a server has sent the header of a response to a request sent at
+// sentAt.
+func (p *upstreamPool) recordResponse(s *upstream, sentAt time.Time) {
 	p.mu.Lock()
 	s.respondedAt = p.now()
 	s.heardAt = s.respondedAt
+	if sentAt.After(s.answeredSentAt) {
+		s.answeredSentAt = sentAt
+	}
 	p.mu.Unlock()
 }
 
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -60,28 +60,29 @@
 	store    Store
 	headers  traffic.Headers // header names
 
-	view          *view.View                    // this node's copy of the store
-	table         atomic.Pointer[traffic.Table] // nil until a configuration has been applied
-	upstreams     *upstreamPool
-	members       *cluster.Members // records of the known nodes
-	roster        *cluster.Roster  // nodes among which limits are divided
-	peers         *cluster.Node    // exchange with the other nodes
-	quota         *admit.SharedLimiter
-	retryBudget   *request.WindowBudget
-	usage         *usageCounter // requests executed through this node
-	ledger        *duty.Ledger  // requests executed through all nodes
-	lease         *duty.Lease   // entitles its holder to perform the duties
-	usageReporter *duty.UsageReporter
-	provisioner   *capacity.Provisioner // sends orders for servers
-	scaler        *scaler               // demand data from which the orders are computed
-	cacheTracker  *cacheTracker
-	stalledConns  stalledConnDetector
-	prober        *prober
-	forwardPeers  *forwardPeers // nodes to forward requests to
-	crashes       *crashDetector
-	quarantine    *quarantine.List       // requests suspected of crashing servers
-	suspectRuns   suspectRuns            // copies of them in progress
-	limits        *admit.UpstreamLimiter // limits that servers have named
+	view           *view.View                    // this node's copy of the store
+	table          atomic.Pointer[traffic.Table] // nil until a configuration has been applied
+	upstreams      *upstreamPool
+	members        *cluster.Members // records of the known nodes
+	roster         *cluster.Roster  // nodes among which limits are divided
+	peers          *cluster.Node    // exchange with the other nodes
+	quota          *admit.SharedLimiter
+	retryBudget    *request.WindowBudget
+	usage          *usageCounter // requests executed through this node
+	ledger         *duty.Ledger  // requests executed through all nodes
+	lease          *duty.Lease   // entitles its holder to perform the duties
+	usageReporter  *duty.UsageReporter
+	provisioner    *capacity.Provisioner // sends orders for servers
+	scaler         *scaler               // demand data from which the orders are computed
+	cacheTracker   *cacheTracker
+	stalledConns   stalledConnDetector // of peers
+	stalledServers stalledConnDetector
+	prober         *prober
+	forwardPeers   *forwardPeers // nodes to forward requests to
+	crashes        *crashDetector
+	quarantine     *quarantine.List       // requests suspected of crashing servers
+	suspectRuns    suspectRuns            // copies of them in progress
+	limits         *admit.UpstreamLimiter // limits that servers have named
 
 	startedAt      time.Time
 	incarnation    atomic.Int64
--- a/src/gateway/reach.go
+++ b/src/gateway/reach.go
@@ -77,7 +77,7 @@
 		return
 	}
 	now := p.now()
-	s.unreachable, s.unreachableSince = true, now
+	s.unreachable, s.unreachableSince, s.abandoned = true, now, false
 	s.probeInterval = minProbeInterval
 	s.probeAt = now.Add(s.probeInterval)
 	klog.InfoS("server_reachable", "server", s.id, "started_ms", s.startedMS, "reachable", false)
@@ -175,8 +175,10 @@
 	return count
 }
 
-// reachStep probes the servers that this node cannot connect to.
+// reachStep probes the servers that this node cannot connect to, and looks for those that have
+// gone silent.
 func (n *Node) reachStep() {
+	n.silenceStep()
 	for _, s := range n.upstreams.dueProbes() {
 		go func() { n.upstreams.recordProbe(s, n.prober.probe(s.address)) }()
 	}
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -64,16 +64,23 @@
 // send sends the request to one server and reads the response header.
 func (n *Node) send(ctx context.Context, req *clientRequest, s *upstream, lastEventID string) sendResult {
 	ctx, cancelCtx := context.WithCancel(ctx)
-	stopWatching := context.AfterFunc(s.ctx, cancelCtx)
+	stopWatching := context.AfterFunc(n.upstreams.sendContext(s, req.route.Retryable()), cancelCtx)
 	cancel := func() {
 		stopWatching()
 		cancelCtx()
 	}
 	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	out := n.upstreamRequest(ctx, req, s, lastEventID)
 	sentAt := clock.Now()
+	stopTimer := func() {}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		if info.Reused {
+			stopTimer = n.watchResponse(s, sentAt)
+		}
+	}})
+	out := n.upstreamRequest(ctx, req, s, lastEventID)
 	resp, err := n.upstreams.transport(s).RoundTrip(out)
+	stopTimer()
 	if err != nil {
 		cancel()
 		if !connected.Load() {
@@ -81,7 +88,7 @@
 		}
 		return sendResult{outcome: outcomeUnknown, err: err, cancel: cancel}
 	}
-	n.upstreams.recordResponse(s)
+	n.upstreams.recordResponse(s, sentAt)
 	resp.Body = &heardReader{ReadCloser: resp.Body, heard: func() { n.upstreams.heard(s) }}
 	n.upstreams.recordKeepAlive(s, resp.Header)
 	id := resp.Header.Get(n.headers.RequestID)
@@ -111,6 +118,17 @@
 	return sendResult{outcome: outcomeUnknown, err: err, cancel: cancel}
 }
 
+// sendContext returns the context that ends with the server's run and, if the send may be
+// repeated, when it is given up.
+func (p *upstreamPool) sendContext(s *upstream, repeatable bool) context.Context {
+	if !repeatable {
+		return s.ctx
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return s.abandonCtx
+}
+
 const maxDrainBytes = 4 << 10
 
 // upstreamRequest builds the request to a server.
--- a/src/gateway/upstreams.go
+++ b/src/gateway/upstreams.go
@@ -66,13 +66,20 @@
 	probeAt             time.Time     // if unreachable, when it is probed next
 	probeInterval       time.Duration // between two probes
 	probeRunning        bool
-	restUntil           time.Time  // end of the latest rest that the server has asked for
-	rejections          int        // in a row
-	backoffUntil        time.Time  // after a rejection, until which other servers are preferred
-	probing             bool       // one request at a time, until the server accepts one after a rejection
-	recoveringUntil     time.Time  // see totalRequests
-	unlistedAt          time.Time  // when its entry was found gone; zero while it is listed
-	remoteLoad          serverLoad // latest reported load of all other nodes
+	waitingSince        time.Time          // when the requests in progress began after there were none
+	silenceProbedAt     time.Time          // when it was probed last for being silent
+	answeredSentAt      time.Time          // latest time of sending of a request that got a response
+	idleClosedAt        time.Time          // when its idle connections were closed last after one had stalled
+	abandonCtx          context.Context    // canceled when sends that may be repeated are given up
+	abandon             context.CancelFunc // cancels abandonCtx
+	abandoned           bool               // since the server became unreachable
+	restUntil           time.Time          // end of the latest rest that the server has asked for
+	rejections          int                // in a row
+	backoffUntil        time.Time          // after a rejection, until which other servers are preferred
+	probing             bool               // one request at a time, until the server accepts one after a rejection
+	recoveringUntil     time.Time          // see totalRequests
+	unlistedAt          time.Time          // when its entry was found gone; zero while it is listed
+	remoteLoad          serverLoad         // latest reported load of all other nodes
 }
 
 // serverLoad is the load that one or more nodes put on a server.
@@ -91,13 +98,15 @@
 	now          func() time.Time
 	dial         dialFunc // connects to servers
 	nodes        int      // among which the servers' load is divided
+
+	silenceChecks map[string]bool // services whose servers are being probed for being silent
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 func newUpstreamPool(now func() time.Time) *upstreamPool {
 	return &upstreamPool{
-		byID: map[string]*upstream{}, unlisted: map[string]*upstream{}, idleTimeouts: map[string]time.Duration{}, now: now, dial: conn.Dialer(dialTimeout).DialContext,
+		byID: map[string]*upstream{}, unlisted: map[string]*upstream{}, idleTimeouts: map[string]time.Duration{}, silenceChecks: map[string]bool{}, now: now, dial: conn.Dialer(dialTimeout).DialContext,
 	}
 }
 
@@ -179,9 +188,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	out := &upstream{id: s.ID, address: s.Address, service: s.Service, version: s.Version, startedMS: s.StartedMS, ctx: ctx, cancel: cancel, idleTimeout: idleTimeout}
 	out.transport = p.newTransport(out, idleTimeout)
+	out.renewAbandon()
 	return out
 }
 
+// renewAbandon replaces the context that is canceled when sends are given up.
+func (s *upstream) renewAbandon() { s.abandonCtx, s.abandon = context.WithCancel(s.ctx) }
+
 func (p *upstreamPool) sortByService() {
 	p.byService = map[string][]*upstream{}
 	for _, id := range slices.Sorted(maps.Keys(p.byID)) {
@@ -247,6 +260,9 @@
 // beginRequest adds a request in progress to the load of a server.
 func (p *upstreamPool) beginRequest(s *upstream, prefillTokens int64) {
 	p.mu.Lock()
+	if s.requests == 0 {
+		s.waitingSince = p.now()
+	}
 	s.requests++
 	s.pendingPrefill += prefillTokens
 	p.mu.Unlock()
