gateway: a forwarded request is charged to its customer's limit at the first node

Cause: a limit is divided over the nodes by their clients' demand. The second node charged the requests of several nodes to its own share. Now the first node charges, as its share is the one that its clients use, and takes it back if nothing ran. The second one trusts it in this, as it trusts the other figures of known nodes. TestForwardedRequestIsChargedOnce holds as before: 54 charged for 54.

--- a/src/gateway/accept_forwarded.go
+++ b/src/gateway/accept_forwarded.go
@@ -10,7 +10,8 @@
 
 // serveForwarded handles a request that another node has forwarded, as it reaches no server
 // itself. It is served as if the client had sent it here: this node checks the key, charges the
-// customer's limit and the retry budget, counts the usage and sends it to servers.
+// retry budget, counts the usage and sends it to servers. Only the customer's limit has been
+// charged by the other node, whose share of the limit its clients use.
 func (n *Node) serveForwarded(w http.ResponseWriter, r *http.Request) {
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -39,7 +39,6 @@
 	crashes         int  // of these, those that ended because the server is gone
 	counted         bool // among the requests that this node sends to servers
 	usageCounted    bool
-	refunded        bool            // the customer's limit is not charged for the request
 	unconnected     int             // servers that this request could not connect to
 	triedPeers      map[string]bool // nodes that it was forwarded to
 	pendingPrefill  int64           // tokens counted in the current server's backlog
@@ -130,10 +129,9 @@
 	}
 }
 
-// refundQuota takes back what the request was charged to its customer's limit.
+// refundQuota takes back what this node has charged to the customer's limit.
 func (f *forwarder) refundQuota() {
-	if req := f.req; !f.refunded && req.customer != nil {
-		f.refunded = true
+	if req := f.req; !req.forwarded && req.customer != nil {
 		f.node.quota.Refund(req.customer.Name, req.quotaCost())
 	}
 }
--- a/src/gateway/forward_peer.go
+++ b/src/gateway/forward_peer.go
@@ -189,7 +189,6 @@
 func (f *forwarder) tryPeer(ctx context.Context, to peer) (done bool, refused *refusal) {
 	n := f.node
 	f.triedPeers[to.node] = true
-	f.refundQuota() // the other node charges it
 	n.forwardPeers.begin(to.node)
 	defer n.forwardPeers.end(to.node)
 	ctx, cancel := context.WithCancel(ctx)
@@ -292,6 +291,7 @@
 	if f.runs > 0 || f.response.headerSent {
 		return nil
 	}
+	f.refundQuota()
 	return &refusal{status: resp.StatusCode, code: code, retryAfter: retryAfterSeconds(resp), logValues: []any{"by", to.node}}
 }
 
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -275,7 +275,7 @@
 	if refused := n.checkQuarantine(req); refused != nil {
 		return refused
 	}
-	if c := req.customer; c != nil && c.Rate > 0 {
+	if c := req.customer; c != nil && c.Rate > 0 && !req.forwarded {
 		if ok, wait := n.quota.Take(c.Name, req.quotaCost(), req.priority, c.Rate, c.Burst, clock.Now()); !ok {
 			logValues := []any{"customer", c.Name, "cost", req.quotaCost(), "rate", c.Rate, "priority", req.priority, "members", n.roster.Count()}
 			return &refusal{status: http.StatusTooManyRequests, code: codeQuota, retryAfter: wait, logValues: logValues}
