gateway: kept connections that a partition has reset are not tried one by one

Cause: each kept connection showed that it had been reset only to the request sent on it. A reset closes the idle connections to that server; resets of three servers of a service within a second close those to all of them. Connections that live on while new ones are refused see no reset, and stay.

--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -96,6 +97,9 @@
 			return f.finishFull(ctx)
 		}
 		done, err := f.tryApart(ctx, s, standing, picked.uncached)
+		if errors.Is(err, syscall.ECONNRESET) && ctx.Err() == nil {
+			n.upstreams.recordReset(s)
+		}
 		if f.mayHaveCrashed(ctx, err) && f.checkCrash(ctx, s) {
 			f.crashes++
 		}
--- a/src/gateway/silence.go
+++ b/src/gateway/silence.go
@@ -18,7 +18,9 @@
 	silenceInterval  = time.Second            // between two probes of a server that accepts connections
 	abandonDelay     = time.Second            // without any reachable server, until sends that may be repeated are given up
 	responseStall    = 700 * time.Millisecond // without a response header on a reused connection, after which it may have stalled
-	idleCloseSpacing = 5 * time.Second        // between two such closes for one server
+	resetWindow      = time.Second
+	resetServers     = 3
+	idleCloseSpacing = 5 * time.Second // between two such closes for one server
 )
 
 // silenceStep looks for services whose servers have all gone silent, and gives up what may be
@@ -194,6 +196,30 @@
 	}
 }
 
+// recordReset records that an open connection to a server was reset. Its idle ones are closed,
+// as they may have been reset too, and those of the whole service once resetServers of its
+// servers have reset connections within resetWindow: then the network does.
+func (p *upstreamPool) recordReset(s *upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	s.resetAt = now
+	s.transport.CloseIdleConnections()
+	servers := p.byService[s.service]
+	recent := 0
+	for _, other := range servers {
+		if now.Sub(other.resetAt) < resetWindow {
+			recent++
+		}
+	}
+	if recent != min(resetServers, len(servers)) {
+		return
+	}
+	for _, other := range servers {
+		other.transport.CloseIdleConnections()
+	}
+}
+
 // overtaken reports whether the server has responded to a request sent after sentAt, and takes
 // note that its idle connections are closed, which it does not report again for
 // idleCloseSpacing.
--- a/src/gateway/silence_test.go
+++ b/src/gateway/silence_test.go
@@ -1,6 +1,12 @@
 package gateway
 
 import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -73,3 +79,53 @@
 	is.True(pool.overtaken(s, sent))
 	is.True(!pool.overtaken(s, sent)) // closed just now
 }
+
+// Guards against requests being lost one by one on kept connections that a partition has reset.
+func TestResetsOfSeveralServersCloseIdleConnectionsOfService(t *testing.T) {
+	is := is.New(t)
+	pool, pass := newReachPool(resetServers + 1)
+	servers := pool.byService["s"]
+	idle := map[string]net.Conn{} // by server
+	for _, s := range servers {
+		idle[s.id] = openIdleConnection(t, pool, s)
+	}
+	pool.recordReset(servers[0])
+	is.True(closed(idle[servers[0].id]))
+	is.True(!closed(idle[servers[1].id]))
+	pass(resetWindow)
+	for _, s := range servers[:resetServers] {
+		pool.recordReset(s)
+	}
+	is.True(closed(idle[servers[resetServers].id]))
+}
+
+// openIdleConnection makes the pool keep an idle connection to a server, and returns the
+// server's end.
+func openIdleConnection(t *testing.T, pool *upstreamPool, s *upstream) net.Conn {
+	server, client := net.Pipe()
+	s.transport.DialContext = func(context.Context, string, string) (net.Conn, error) { return client, nil }
+	go func() {
+		request, err := http.ReadRequest(bufio.NewReader(server))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	request, err := http.NewRequest(http.MethodGet, "http://"+s.address, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := s.transport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return server
+}
+
+// closed reports whether the other end of a connection is closed.
+func closed(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	return errors.Is(err, io.EOF)
+}
--- a/src/gateway/upstreams.go
+++ b/src/gateway/upstreams.go
@@ -69,6 +69,7 @@
 	waitingSince        time.Time          // when the requests in progress began after there were none
 	silenceProbedAt     time.Time          // when it was probed last for being silent
 	answeredSentAt      time.Time          // latest time of sending of a request that got a response
+	resetAt             time.Time          // when an open connection to it was reset last
 	idleClosedAt        time.Time          // when its idle connections were closed last after one had stalled
 	abandonCtx          context.Context    // canceled when sends that may be repeated are given up
 	abandon             context.CancelFunc // cancels abandonCtx
