gateway: a partition between one node and the servers is not taken for crashes

Cause: a refused connection was a crash, whoever was refused. A partition refuses too. A node now asks the others (at most eight, 200 ms) to connect to the server, and connects to two others of the service itself. One node that reaches the server ends the check; a refusal counts only from a node that reaches the service otherwise; where no node does, only a later start of the server counts. Requests of a node whose reach is poor are refused as unreachable, not held as if the servers that are left had to be kept from them. A refusal after failed connections alone says servers_unreachable too. Ruled out: the node's own view alone; in a partition from some servers it reaches others. TestPartitionIsNotTakenForCrashes failed before with all nodes cut off (300 refused).

--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -49,6 +49,9 @@
 	// its own, or a hub those of all nodes. It may be nil.
 	OnSuspects func()
 
+	// OnProbe is called when another node asks for a probe of a server. It may be nil.
+	OnProbe func(*ProbeRequest) *ProbeReply
+
 	client           *http.Client
 	mu               sync.Mutex
 	clients          map[string]Cluster
--- a/src/gateway/crash.go
+++ b/src/gateway/crash.go
@@ -37,6 +37,8 @@
 type crashDetector struct {
 	pool   *upstreamPool
 	prober *prober
+	// askPeers is nil if there are no other nodes to ask.
+	askPeers peerProbes
 
 	watchPeriod time.Duration // for which a server that seems to run is watched
 	mu          sync.Mutex
@@ -84,7 +86,19 @@
 	c.findRestart(d.pool, s)
 	if !c.crashed.Load() && listed {
 		result := d.prober.probe(s.address)
-		c.crashed.Store(result == probeRefused)
+		if result == probeRefused {
+			d.pool.markUnreachable(s)
+			switch d.judge(s) {
+			case verdictPartitioned:
+				klog.InfoS("server_partitioned", "server", s.id, "started_ms", s.startedMS)
+				close(c.probed)
+				return
+			case verdictCrashed:
+				c.crashed.Store(true)
+			case verdictUnclear:
+				result = probeNoAnswer
+			}
+		}
 		d.setUnreachable(c, s, result)
 	}
 	close(c.probed)
@@ -95,7 +109,7 @@
 		}
 		c.findRestart(d.pool, s)
 		if !c.crashed.Load() && c.unreachable.Load() {
-			d.setUnreachable(c, s, d.prober.probe(s.address))
+			d.setUnreachable(c, s, d.prober.probe(s.address)) // it closed new connections before
 		}
 	}
 }
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -40,6 +40,7 @@
 	crashes         int  // of these, those that ended because the server is gone
 	counted         bool // among the requests that this node sends to servers
 	usageCounted    bool
+	rejections      int             // by servers
 	unconnected     int             // servers that this request could not connect to
 	triedPeers      map[string]bool // nodes that it was forwarded to
 	pendingPrefill  int64           // tokens counted in the current server's backlog
@@ -86,6 +87,9 @@
 		}
 		picked := n.chooseServer(req, standing, f.excluded)
 		s := picked.server
+		if picked.reserved && n.upstreams.reach(req.service).share() < poorReach {
+			return f.finish(ctx, codeUnreachable, request.JitterUp(unreachableRetryAfter)) // most servers are not known to have crashed
+		}
 		if picked.reserved {
 			return f.finishHeld(ctx)
 		}
@@ -207,6 +211,7 @@
 		f.recordNotSent(ctx, s, result.err)
 		return false, result.err
 	case outcomeRefused:
+		f.rejections++
 		if result.response.StatusCode == http.StatusMisdirectedRequest {
 			n.markDraining(s)
 		} else {
@@ -359,10 +364,13 @@
 	return f.finish(ctx, codeNoServer, request.Jitter(noServerRetryAfter))
 }
 
-// finishFull ends a request that servers rejected and that may not be sent to another one.
+// finishFull ends a request that may not be sent to another server.
 func (f *forwarder) finishFull(ctx context.Context) *refusal {
-	if f.node.upstreams.reach(f.req.service).none() {
+	switch {
+	case f.node.upstreams.reach(f.req.service).none():
 		return f.finish(ctx, codeUnreachable, request.JitterUp(unreachableRetryAfter))
+	case f.rejections == 0:
+		return f.finish(ctx, codeUnreachable, request.Jitter(noServerRetryAfter))
 	}
 	if restWait, allRest := f.node.upstreams.restWait(f.req.service); allRest {
 		return f.finish(ctx, codeServersResting, returnAfter(restWait, f.req.priority))
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -120,7 +120,9 @@
 	n.usage = newUsageCounter(settings.Duties.UsageWindow, n.clusterTime)
 	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.localRecord, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAllRecords: n.holdsLease, OnStalledConn: n.onStalledConn, RaiseIncarnation: n.raiseIncarnation, OnSuspects: n.applyReports}
 	n.incarnation.Store(now.UnixMicro())
+	n.peers.OnProbe = n.probeForPeer
 	n.peers.Start()
+	n.crashes.askPeers = n.peers.ProbeByPeers
 	n.lease = duty.NewLease(n.store, dutyLeaseKey, settings.Node, settings.Duties.Lease, clock.Exact)
 	n.usageReporter = &duty.UsageReporter{
 		Ledger: n.ledger, Lease: n.lease, Store: n.store, Sender: platform, Prefix: usagePrefix,
--- a/src/gateway/pick.go
+++ b/src/gateway/pick.go
@@ -23,7 +23,7 @@
 	defer n.rngMu.Unlock()
 	list, wait := n.withinLimits(n.upstreams.candidates(req.service, excluded), req.priority)
 	list = preferred(list, func(c candidate) bool { return !c.backingOff })
-	if standing.Suspected {
+	if standing.Suspected && len(list) > 0 {
 		if n.isReserved(req, standing) {
 			return choice{reserved: true}
 		}
--- a/src/gateway/probe.go
+++ b/src/gateway/probe.go
@@ -32,6 +32,18 @@
 
 func newProber() *prober { return &prober{dial: (&net.Dialer{}).DialContext} }
 
+// connects reports whether an address accepts a connection.
+func (p *prober) connects(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // probe connects to an address and waits a moment whether the connection stays open.
 func (p *prober) probe(address string) probeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
--- a/src/gateway/reach.go
+++ b/src/gateway/reach.go
@@ -17,7 +17,7 @@
 const (
 	reachInterval    = 100 * time.Millisecond // between two looks for servers to probe
 	minProbeInterval = 250 * time.Millisecond // for one server, doubled with each failure up to maxProbeInterval
-	maxProbeInterval = time.Second
+	maxProbeInterval = 500 * time.Millisecond
 	maxProbes        = 32 // started at a time
 )
 
--- a/test/server_cut_test.go
+++ b/test/server_cut_test.go
@@ -343,3 +343,41 @@
 	}
 	return total
 }
+
+// Guards against a partition between one node and the servers being taken for crashes of the
+// servers, for which sound requests were refused as suspects.
+func TestPartitionIsNotTakenForCrashes(t *testing.T) {
+	t.Parallel() // mostly waits
+	for _, cutNodes := range []int{1, 3} {
+		t.Run(fmt.Sprint(cutNodes), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			_, nodes, servers := newCutBed(t, 3, cutServers)
+			for _, s := range servers {
+				s.SetSlots(100, 100*time.Millisecond)
+			}
+			var tries []*firstTries
+			for i, n := range nodes {
+				tries = append(tries, sendFirstTries(n, fmt.Sprint("p-", i), 4))
+			}
+			for range 4 {
+				time.Sleep(500 * time.Millisecond)
+				for _, n := range nodes[:cutNodes] {
+					n.links.cut(cutReset)
+				}
+				time.Sleep(500 * time.Millisecond)
+				for _, n := range nodes[:cutNodes] {
+					n.links.heal()
+				}
+			}
+			time.Sleep(time.Second)
+			suspected := 0
+			for _, f := range tries {
+				f.end()
+				t.Log(f)
+				suspected += f.others["503 crashes_unclear\n<nil>"] + f.others["503 crashes_servers\n<nil>"]
+			}
+			is.Equal(suspected, 0)
+		})
+	}
+}
