--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -229,15 +230,19 @@
 		routerFor(n.initial.Listen.Directory).HandleFunc(n.platform.ResolvePath(), n.resolve)
 	}
 	for address, handler := range handlers {
-		if err := n.listenOn(address, handler); err != nil {
+		listen := listenTCP
+		if address == n.initial.Listen.Peers {
+			listen = listenForPeers
+		}
+		if err := n.listenOn(address, handler, listen); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (n *Node) listenOn(address string, handler http.Handler) error {
-	listener, err := listenTCP(address)
+func (n *Node) listenOn(address string, handler http.Handler, listen func(address string) (net.Listener, error)) error {
+	listener, err := listen(address)
 	if err != nil {
 		return oops.Wrapf(err, "listen on %s", address)
 	}
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -12,12 +12,19 @@
 	"github.com/crankridge/crankridge/src/admit"
 	"github.com/crankridge/crankridge/src/clock"
 	"github.com/crankridge/crankridge/src/cluster"
+	"github.com/crankridge/crankridge/src/conn"
 	"github.com/crankridge/crankridge/src/process"
 	"github.com/crankridge/crankridge/src/traffic"
 )
 
 func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 
+// listenForPeers listens for other nodes. A connection from one that has fallen silent ends
+// soon, and with it the requests that it has forwarded.
+func listenForPeers(address string) (net.Listener, error) {
+	return conn.Listen(context.Background(), address)
+}
+
 // discardLog returns a logger that drops the messages of net/http, which do not
 // name the request.
 func discardLog() *log.Logger { return log.New(discardWriter{}, "", 0) }
