gateway: a change of a node's reach is told to the others at once

Right after a partition of most nodes, callers were refused though one node reached the servers: 38 refusals in the second after it, as requests were forwarded to nodes that had just lost their own way, three at most. Cause: the reach was told with the next regular exchange, up to 0.3 s later.

--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -98,6 +98,7 @@
 	metrics        *telemetry.GatewayMetrics
 	current        atomic.Pointer[Settings] // as after the last reload
 
+	reportedReach  map[string]reach         // owned by reachStep: poor reaches at its last call
 	registration   registration             // owned by registerLoop, then by Run
 	decodedServers map[string]decodedServer // by key; owned by applyLoop
 }
--- a/src/gateway/reach.go
+++ b/src/gateway/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"syscall"
@@ -179,6 +180,10 @@
 // gone silent.
 func (n *Node) reachStep() {
 	n.silenceStep()
+	if poor := n.upstreams.poorReaches(); !maps.Equal(poor, n.reportedReach) {
+		n.reportedReach = poor
+		n.peers.TriggerUrgentExchange()
+	}
 	for _, s := range n.upstreams.dueProbes() {
 		go func() { n.upstreams.recordProbe(s, n.prober.probe(s.address)) }()
 	}
