gateway: brittle servers are sent only what they have places for

Callers of a service whose servers say Server-Brittle lost nearly all: 12 to 16 falls of four servers in 8 s, 35 to 70 of 1,280 possible requests served, as the servers rejected what they had let wait before, fell, and were met by all nodes at once when they came back. Cause: the header was read nowhere, and what a server rejects was bounded by no node. What a run says is kept, told to the other nodes and taken to hold for new runs of its service. The places of a brittle server are divided over the nodes by rendezvous hashing, so that the parts add up to its places whatever the nodes hear of each other's load; so are the rejections it bears, also where they are fewer than the nodes. Beyond its places a node sends only what it may have rejected, after a rejection only what the server had accepted, and nothing for the rest of that second once its part is used up. A request counts at its server from the choice on, not from the send, so that choices at the same moment see each other.

--- a/src/admit/upstream_limit.go
+++ b/src/admit/upstream_limit.go
@@ -173,7 +173,7 @@
 	}
 	wasOwned := u.owned
 	u.owners = ownerCount(u.news.Rate, len(l.nodes))
-	u.owned = l.rank(u.news.Upstream.ID) < u.owners
+	u.owned = Rank(l.self, l.nodes, u.news.Upstream.ID) < u.owners
 	if u.owned && !wasOwned {
 		u.level, u.updatedAt = 0, now
 	}
@@ -185,12 +185,13 @@
 	return int(max(min(most, float64(nodes)), 1))
 }
 
-// rank returns how many nodes come before this one in the order of an upstream's owners.
-func (l *UpstreamLimiter) rank(upstream string) int {
-	hash := func(node string) uint64 { return xxhash.Sum64String(upstream + "\x00" + node) }
-	own, rank := hash(l.self), 0
-	for _, node := range l.nodes {
-		if h := hash(node); h < own || h == own && node < l.self {
+// Rank returns how many of the nodes come before the node self in the order for a key, by
+// rendezvous hashing: all nodes that know of each other agree on it.
+func Rank(self string, nodes []string, key string) int {
+	hash := func(node string) uint64 { return xxhash.Sum64String(key + "\x00" + node) }
+	own, rank := hash(self), 0
+	for _, node := range nodes {
+		if h := hash(node); h < own || h == own && node < self {
 			rank++
 		}
 	}
--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -36,6 +36,7 @@
 	clientAddresses                  []string
 	suspects                         []*Suspect // those with the most crashes
 	limits                           []*ServerLimit
+	brittle                          []*BrittleServer
 	interruptions                    []*Interruption
 }
 
@@ -127,6 +128,7 @@
 	}
 	out.Heavy = subtractOwn(m.aggregates.heavy, own.GetLoads())
 	out.Suspects, out.Limits, out.Interruptions = m.aggregates.suspects, m.aggregates.limits, m.aggregates.interruptions
+	out.Brittle = m.aggregates.brittle
 	out.MeanRequests, out.MeanUnread = m.aggregates.meanRequests, m.aggregates.meanPendingPrefill
 	for range min(maxClientAddresses, len(m.aggregates.clientAddresses)) {
 		out.Callers = append(out.Callers, m.aggregates.clientAddresses[rand.IntN(len(m.aggregates.clientAddresses))])
@@ -153,6 +155,7 @@
 		out.records[name] = r
 		out.suspects = append(out.suspects, r.Suspects...)
 		out.limits = append(out.limits, r.Limits...)
+		out.brittle = append(out.brittle, r.Brittle...)
 		if age <= AliveTimeout {
 			out.interruptions = append(out.interruptions, r.Interruptions...)
 			if r.Ready && !r.Leaving {
@@ -172,6 +175,7 @@
 	out.heavy, out.meanRequests, out.meanPendingPrefill = heaviest(loads)
 	out.suspects = mostCrashes(out.suspects)
 	out.limits = latestLimits(out.limits)
+	out.brittle = latestBrittle(out.brittle)
 	out.interruptions = latestInterruptions(out.interruptions)
 	return out
 }
@@ -223,6 +227,22 @@
 	return out[:min(len(out), maxLimits)]
 }
 
+// latestBrittle returns the latest news of each server, at most maxLimits.
+func latestBrittle(list []*BrittleServer) []*BrittleServer {
+	latest := map[string]*BrittleServer{}
+	for _, news := range list {
+		key := fmt.Sprint(news.Server, "/", news.StartedMs)
+		if known := latest[key]; known == nil || news.AtUs > known.AtUs {
+			latest[key] = news
+		}
+	}
+	out := slices.Collect(maps.Values(latest))
+	slices.SortFunc(out, func(a, b *BrittleServer) int {
+		return cmp.Or(cmp.Compare(b.AtUs, a.AtUs), cmp.Compare(a.Server, b.Server))
+	})
+	return out[:min(len(out), maxLimits)]
+}
+
 // latestInterruptions returns at most maxInterruptions, those that ended last first.
 func latestInterruptions(list []*Interruption) []*Interruption {
 	out := slices.Clone(list)
--- a/src/gateway/backoff.go
+++ b/src/gateway/backoff.go
@@ -16,6 +16,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	s.recordBrittleRejection(now)
 	s.probing = true
 	if now.Before(s.backoffUntil) {
 		return // the response to a request from before the backoff
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -94,10 +94,10 @@
 			return f.finishHeld(ctx)
 		}
 		if s == nil {
-			return f.finishWithoutServer(ctx, picked.wait)
+			return f.finishWithoutServer(ctx, picked)
 		}
 		if f.reached > 0 && !f.spendRetryBudget() {
-			n.limits.Refund(s.run())
+			n.cancelChoice(picked)
 			return f.finishFull(ctx)
 		}
 		done, err := f.tryApart(ctx, s, standing, picked.uncached)
@@ -193,13 +193,13 @@
 	}
 	f.sends++
 	f.pendingPrefill, f.gotFirstEvent, f.executed = uncached, false, false
-	n.upstreams.beginRequest(s, f.pendingPrefill)
 	defer n.upstreams.endRequest(s)
 	defer f.prefillDone(s)
 	lastEventID := f.response.lastEventID
 	sentAt := clock.Now()
 	f.sentAt, f.progressAt = sentAt, sentAt
 	result := n.send(ctx, req, s, lastEventID)
+	n.upstreams.confirmRequest(s)
 	n.metrics.Sent(req.service, result.outcome.String())
 	defer result.cancel()
 	if result.outcome != outcomeNotSent {
@@ -346,9 +346,12 @@
 	}
 }
 
-// finishWithoutServer ends a request that no server may be sent to now. limitWait is the
-// time until the limit of one admits it, 0 if none has a limit.
-func (f *forwarder) finishWithoutServer(ctx context.Context, limitWait time.Duration) *refusal {
+// finishWithoutServer ends a request that no server may be sent to now.
+func (f *forwarder) finishWithoutServer(ctx context.Context, picked choice) *refusal {
+	limitWait := picked.wait
+	if picked.full && limitWait == 0 {
+		limitWait = placesRetryAfter
+	}
 	restWait, allRest := f.node.upstreams.restWait(f.req.service)
 	switch {
 	case limitWait > 0 && restWait > 0:
--- a/src/gateway/pick.go
+++ b/src/gateway/pick.go
@@ -13,15 +13,17 @@
 	server   *upstream     // nil if there is none to send to
 	uncached int64         // tokens of the prompt that it will have to prefill
 	wait     time.Duration // if only limits of servers leave none: the time after which to try again
+	full     bool          // only the places at brittle servers leave none
 	reserved bool          // the servers that are left are not for a suspected request
 }
 
-// chooseServer picks the server for the next send, and takes the request from its
-// limit. On sticky routes it also sets req.queuedTokens.
+// chooseServer picks the server for the next send, takes the request from its limit and adds
+// it to its load; cancelChoice reverts both. On sticky routes it also sets req.queuedTokens.
 func (n *Node) chooseServer(req *clientRequest, standing quarantine.Standing, excluded map[string]bool) choice {
 	n.rngMu.Lock()
 	defer n.rngMu.Unlock()
 	list, wait := n.withinLimits(n.upstreams.candidates(req.service, excluded), req.priority)
+	list, full := n.withinPlaces(list)
 	list = preferred(list, func(c candidate) bool { return !c.backingOff })
 	if standing.Suspected && len(list) > 0 {
 		if n.isReserved(req, standing) {
@@ -31,12 +33,21 @@
 	}
 	picked := n.pick(req, standing, keepApart(list, standing))
 	if picked.server == nil {
-		return choice{wait: wait}
+		return choice{wait: wait, full: full}
 	}
 	n.limits.Take(picked.server.run(), req.priority, clock.Now())
+	n.upstreams.beginRequest(picked.server, picked.uncached)
 	return picked
 }
 
+// cancelChoice reverts chooseServer for a request that is not sent.
+func (n *Node) cancelChoice(c choice) {
+	n.limits.Refund(c.server.run())
+	n.upstreams.confirmRequest(c.server)
+	n.upstreams.prefillDone(c.server, c.uncached)
+	n.upstreams.endRequest(c.server)
+}
+
 // pick chooses among the candidates. The caller holds rngMu.
 func (n *Node) pick(req *clientRequest, standing quarantine.Standing, list []candidate) choice {
 	if req.trialVersion != "" {
--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -94,6 +94,7 @@
 	id := resp.Header.Get(n.headers.RequestID)
 	declined := resp.Header.Get(n.headers.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 	n.recordLeaving(s, resp.Header)
+	n.recordBrittle(s, resp.Header, sentAt)
 	n.recordRest(s, resp, declined)
 	switch {
 	case id != "" && id != req.id:
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -50,6 +50,7 @@
 	r.Suspects, r.Interruptions = n.reportSuspects(), n.reportInterruptions()
 	r.Limits = n.reportLimits()
 	r.Reach = n.reportReach()
+	r.Brittle = n.reportBrittle()
 	r.Demands = n.scaler.demands(clock.Now())
 	return r
 }
@@ -66,6 +67,7 @@
 		n.roster.Heard(m.Record.Node, m.Heard)
 		if m.Record.Node != n.initial.Node {
 			n.mergeLimits(m.Record.Limits)
+			n.mergeBrittle(m.Record.Brittle)
 		}
 	}
 	n.applyReports()
@@ -96,6 +98,7 @@
 
 func (n *Node) applySummary(s *cluster.Summary, hub string, at time.Time) {
 	n.mergeLimits(s.Limits)
+	n.mergeBrittle(s.Brittle)
 	n.quota.SetAggregate(hub, max(int(s.Nodes), n.roster.Count())-1)
 	n.mergeAdmitted(hub, summaryIncarnation, s.Admitted, at)
 	remote := make(map[string]serverLoad, len(s.Heavy))
--- a/src/gateway/upstreams.go
+++ b/src/gateway/upstreams.go
@@ -66,9 +66,14 @@
 	probeAt             time.Time     // if unreachable, when it is probed next
 	probeInterval       time.Duration // between two probes
 	probeRunning        bool
-	waitingSince        time.Time          // when the requests in progress began after there were none
-	silenceProbedAt     time.Time          // when it was probed last for being silent
-	answeredSentAt      time.Time          // latest time of sending of a request that got a response
+	waitingSince        time.Time // when the requests in progress began after there were none
+	silenceProbedAt     time.Time // when it was probed last for being silent
+	answeredSentAt      time.Time // latest time of sending of a request that got a response
+	brittle             brittleness
+	unconfirmed         int                // requests in progress that have no response header yet
+	rejectedAt          []time.Time        // rejections within rejectionWindow
+	room                int                // requests of this node that it had accepted at the latest rejection
+	roomAt              time.Time          // time of that rejection; zero if there was none
 	resetAt             time.Time          // when an open connection to it was reset last
 	idleClosedAt        time.Time          // when its idle connections were closed last after one had stalled
 	abandonCtx          context.Context    // canceled when sends that may be repeated are given up
@@ -101,6 +106,7 @@
 	nodes        int      // among which the servers' load is divided
 
 	silenceChecks map[string]bool // services whose servers are being probed for being silent
+	brittleKnown  bool            // a server has said that it is brittle
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -165,6 +171,7 @@
 	next := p.newUpstream(entry)
 	if known.startedMS == entry.StartedMS {
 		next.restUntil, next.leaving, next.draining = known.restUntil, known.leaving, known.leaving
+		next.brittle = known.brittle
 	}
 	return next
 }
@@ -265,10 +272,19 @@
 		s.waitingSince = p.now()
 	}
 	s.requests++
+	s.unconfirmed++
 	s.pendingPrefill += prefillTokens
 	p.mu.Unlock()
 }
 
+// confirmRequest records that the fate of a request that was begun is known: the server has
+// accepted or rejected it, or it was not sent.
+func (p *upstreamPool) confirmRequest(s *upstream) {
+	p.mu.Lock()
+	s.unconfirmed--
+	p.mu.Unlock()
+}
+
 // prefillDone removes prompt tokens from the prefill backlog of a server.
 func (p *upstreamPool) prefillDone(s *upstream, prefillTokens int64) {
 	p.mu.Lock()
--- a/src/traffic/headers.go
+++ b/src/traffic/headers.go
@@ -11,6 +11,7 @@
 	ExpectInstance string // ID of the intended server
 	NotExecuted    string // set by a server that did not run the request
 	ServerLimit    string // requests per second that a server accepts from all nodes together; absent if it names no limit
+	ServerBrittle  string // rejections in a second beyond which a server falls over; absent if it does not
 	ServerLeaving  string // true if the server is about to terminate
 	Model          string
 	Tokens         string // input tokens and maximum output tokens
--- a/test/server_brittle_test.go
+++ b/test/server_brittle_test.go
@@ -76,8 +76,12 @@
 // time they came back.
 func TestBrittleServersDoNotFallOver(t *testing.T) {
 	t.Parallel() // mostly waits
-	for _, c := range []struct{ rejections, clients int }{{8, 40}, {8, 90}, {3, 40}, {3, 90}} {
+	for _, c := range []struct {
+		rejections, clients int
+		crash               bool // one server crashes and comes back
+	}{{8, 40, false}, {8, 90, true}, {3, 40, true}, {3, 90, false}} {
 		t.Run(fmt.Sprintf("%d rejections, %d clients", c.rejections, c.clients), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			b := newGatewayTestbed(t)
 			var servers []*fake.Server
@@ -90,17 +94,23 @@
 			clients := startPoliteClients(b.startNodes(brittleNodes), c.clients)
 			time.Sleep(time.Second)
 			for _, s := range servers {
-				s.SetBrittle(c.rejections, brittleDowntime, func() { b.store.Put("servers/"+s.ID, s.Entry("plain", "zone-1", "ready")) })
+				s.SetBrittle(c.rejections, contactTimeout, brittleDowntime, func() { b.store.Put("servers/"+s.ID, s.Entry("plain", "zone-1", "ready")) })
 			}
 			time.Sleep(contactTimeout)
 			for _, s := range servers {
 				s.SetQueue(0)
 			}
 			before := clients.served.Load()
+			if c.crash {
+				servers[0].Crash()
+			}
 			time.Sleep(brittleLength)
 			served := int(clients.served.Load() - before)
 			clients.end()
 			falls := 0
+			if c.crash {
+				falls--
+			}
 			for _, s := range servers {
 				falls += s.Crashes()
 			}
