--- a/test/gateway_testbed_test.go
+++ b/test/gateway_testbed_test.go
@@ -190,7 +190,12 @@
 }
 
 func (n *gatewayNode) send(req gatewayRequest) gatewayResponse {
-	httpReq, _ := http.NewRequest(req.method, "http://"+n.settings.Listen.Callers+req.path, strings.NewReader(req.body))
+	return n.sendContext(context.Background(), req)
+}
+
+// sendContext is send for a client that leaves when ctx is done.
+func (n *gatewayNode) sendContext(ctx context.Context, req gatewayRequest) gatewayResponse {
+	httpReq, _ := http.NewRequestWithContext(ctx, req.method, "http://"+n.settings.Listen.Callers+req.path, strings.NewReader(req.body))
 	httpReq.Host = testHost
 	httpReq.Header.Set("Request-Id", req.id)
 	httpReq.Header.Set("Authorization", "Bearer "+testAPIKey)
--- a/test/server_rest_test.go
+++ b/test/server_rest_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -316,3 +317,30 @@
 	is.True(rejected <= slots)
 	is.True(accepted > 100) // it has its share again
 }
+
+// Guards against a rest that nobody reads: its server rejects a request whose caller has just
+// left.
+func TestRestIsKnownWhenCallersHaveLeft(t *testing.T) {
+	t.Parallel() // mostly waits
+	const (
+		rejectDelay = 40 * time.Millisecond
+		leaveAfter  = 20 * time.Millisecond
+	)
+	is := is.New(t)
+	b := newGatewayTestbed(t)
+	resting := b.startServer("i-resting")
+	b.startServer("i-2")
+	n := b.startNodes(1)[0]
+	resting.SetRetryAfter("3")
+	resting.SetRejectDelay(rejectDelay)
+	resting.SetBehavior(fake.Full)
+	for i := range 200 {
+		ctx, leave := context.WithTimeout(context.Background(), leaveAfter)
+		n.sendContext(ctx, gatewayRequest{method: http.MethodPost, path: "/once/x", id: fmt.Sprintf("l-0-%d", i)})
+		leave()
+	}
+	time.Sleep(rejectDelay)
+	most, latest := mostInRest(resting.Arrivals())
+	t.Logf("%d requests in one rest, the last %s after the response; %d arrived", most, latest, len(resting.Arrivals()))
+	is.True(most <= restExceeded)
+}
