gateway: what a server says in a rejection holds also if its caller has left

A server got 78 requests of one node in 3 s of rest (2 allowed), where callers leave, or their time is over, shortly before its rejections arrive. Cause: with the caller the request to the server was canceled at once, and the header that asks for rest was never read; the next caller's request went there again. A response header that is awaited when the caller leaves is read for 0.1 s more; work at a server still ends well within half a second. The same holds for leaving, limits and brittleness. Ruled out: sends under way when the rest began (the last came 2.1 s after it).

--- a/src/gateway/send.go
+++ b/src/gateway/send.go
@@ -62,14 +62,14 @@
 }
 
 // send sends the request to one server and reads the response header.
-func (n *Node) send(ctx context.Context, req *clientRequest, s *upstream, lastEventID string) sendResult {
-	ctx, cancelCtx := context.WithCancel(ctx)
+func (n *Node) send(parent context.Context, req *clientRequest, s *upstream, lastEventID string) sendResult {
+	var connected, responded atomic.Bool
+	ctx, cancelCtx := withGrace(parent, func() bool { return connected.Load() && !responded.Load() })
 	stopWatching := context.AfterFunc(n.upstreams.sendContext(s, req.route.Retryable()), cancelCtx)
 	cancel := func() {
 		stopWatching()
 		cancelCtx()
 	}
-	var connected atomic.Bool
 	sentAt := clock.Now()
 	stopTimer := func() {}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -88,6 +88,7 @@
 		}
 		return sendResult{outcome: outcomeUnknown, err: err, cancel: cancel}
 	}
+	responded.Store(true)
 	n.upstreams.recordResponse(s, sentAt)
 	resp.Body = &heardReader{ReadCloser: resp.Body, heard: func() { n.upstreams.heard(s) }}
 	n.upstreams.recordKeepAlive(s, resp.Header)
@@ -99,6 +100,8 @@
 	switch {
 	case id != "" && id != req.id:
 		err = errResponseMismatch
+	case parent.Err() != nil && !declined:
+		err = parent.Err()
 	case declined:
 		if resp.StatusCode != http.StatusMisdirectedRequest && len(resp.Header.Values(n.headers.ServerLimit)) > 0 {
 			n.recordLimit(s, resp.Header, sentAt) // a full server may name a limit; that it names none here ends none
@@ -119,6 +122,27 @@
 	return sendResult{outcome: outcomeUnknown, err: err, cancel: cancel}
 }
 
+// withGrace returns a context that ends with its parent or, if pending then reports that a
+// response header is awaited, responseGrace later: what a server says in a rejection that is on
+// its way holds for this node, also if nobody waits for the response any more.
+func withGrace(parent context.Context, pending func() bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	stop := context.AfterFunc(parent, func() {
+		if pending() {
+			time.AfterFunc(responseGrace, cancel)
+			return
+		}
+		cancel()
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// responseGrace is how long a response header is awaited after the client has left.
+const responseGrace = 100 * time.Millisecond
+
 // sendContext returns the context that ends with the server's run and, if the send may be
 // repeated, when it is given up.
 func (p *upstreamPool) sendContext(s *upstream, repeatable bool) context.Context {
