gateway: what a run of a server says holds at its new address too

A server that asked for rest, or said that it leaves, got further requests if its entry had named another address since the request was sent: the note went to what was known of the old one. Now it goes to the run. TestNewsOfRunHoldAtItsNewAddress failed before (the server was chosen).

--- a/src/gateway/brittle.go
+++ b/src/gateway/brittle.go
@@ -82,6 +82,7 @@
 func (p *upstreamPool) setBrittle(s *upstream, news brittleness) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s = p.current(s)
 	if !news.brittle && !p.brittleKnown || !news.at.After(s.brittle.at) {
 		return false
 	}
--- a/src/gateway/leaving.go
+++ b/src/gateway/leaving.go
@@ -42,6 +42,7 @@
 func (p *upstreamPool) markLeaving(s *upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s = p.current(s)
 	if s.leaving {
 		return false
 	}
--- a/src/gateway/rest.go
+++ b/src/gateway/rest.go
@@ -58,6 +58,7 @@
 func (p *upstreamPool) rest(s *upstream, until time.Time) (began bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s = p.current(s)
 	began = !s.resting(p.now())
 	if until.After(s.restUntil) {
 		s.restUntil = until
--- a/src/gateway/rest_test.go
+++ b/src/gateway/rest_test.go
@@ -121,3 +121,29 @@
 	pool.rest(s, now.Add(time.Second))
 	is.Equal(len(pool.versions("s")), 0)
 }
+
+// Guards against what a server says being lost because its entry has named another address since
+// the request was sent.
+func TestNewsOfRunHoldAtItsNewAddress(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	pool := newUpstreamPool(func() time.Time { return now })
+	entry := traffic.Upstream{ID: "i-1", Service: "s", Address: "10.0.0.1:1", StartedMS: 1}
+	pool.update([]traffic.Upstream{entry})
+	before := pool.byID["i-1"]
+	entry.Address = "10.0.0.1:2"
+	pool.update([]traffic.Upstream{entry})
+	pool.rest(before, now.Add(time.Second))
+	is.Equal(len(pool.candidates("s", nil)), 0)
+	now = now.Add(time.Second)
+	is.Equal(len(pool.candidates("s", nil)), 1)
+	pool.setBrittle(before, brittleness{brittle: true, rejections: 3, at: now})
+	_, brittle := pool.brittleOf(pool.byID["i-1"], now)
+	is.True(brittle)
+	pool.markLeaving(before)
+	is.Equal(len(pool.candidates("s", nil)), 0)
+	entry.StartedMS = 2
+	pool.update([]traffic.Upstream{entry})
+	pool.rest(before, now.Add(time.Second))
+	is.Equal(len(pool.candidates("s", nil)), 1) // another run
+}
--- a/src/gateway/upstreams.go
+++ b/src/gateway/upstreams.go
@@ -165,6 +165,17 @@
 	return s
 }
 
+// current returns what is known of a run of a server now: its entry may have named another
+// address since s was chosen. The caller holds the lock.
+func (p *upstreamPool) current(s *upstream) *upstream {
+	for _, known := range []*upstream{p.byID[s.id], p.unlisted[s.id]} {
+		if known != nil && known.startedMS == s.startedMS {
+			return known
+		}
+	}
+	return s
+}
+
 // replacement returns the upstream for a server that has restarted or moved. What a run has
 // said about itself holds at its new address too.
 func (p *upstreamPool) replacement(known *upstream, entry traffic.Upstream) *upstream {
