serve: an event's request preempts streams of other nodes too

A customer of an event in force waited 3 s and more for its first token (0.24 s otherwise), now and then beside load: as long as the other streams kept their slots.

--- a/src/entry/exchange.go
+++ b/src/entry/exchange.go
@@ -267,6 +267,10 @@
 	return n.coord.Read(ctx, req)
 }
 
+func (n *Node) Preempt(ctx context.Context, req *peer.PreemptRequest) (*peer.PreemptResponse, error) {
+	return n.coord.Preempt(ctx, req)
+}
+
 var _ peer.Peer = (*Node)(nil)
 
 // suspectedNodes returns the names of the nodes to which a call failed recently.
--- a/src/serve/queues.go
+++ b/src/serve/queues.go
@@ -39,6 +39,9 @@
 	// preemptible are this node's repeatable streams of the model, which may be
 	// preempted for an event.
 	preemptible map[*completionRun]bool
+	offered     []string  // engines where other nodes have preempted a stream for this one
+	asking      bool      // other nodes are being asked for one
+	askedAt     time.Time // when they were asked last
 }
 
 // waiter is a request for an engine slot. If it is queued, the slot is sent on its
@@ -123,7 +126,7 @@
 		entry, preferred := (*admit.Entry)(nil), ""
 		if qs.hasCapacity(model) {
 			entry = q.queue.Pop()
-		} else if preferred = q.preemptLowest(); preferred != "" {
+		} else if preferred = qs.preempt(model, q); preferred != "" {
 			entry = q.queue.PopHighestPriority()
 		}
 		if entry == nil {
@@ -139,15 +142,11 @@
 	}
 }
 
-// preemptLowest preempts the stream of lowest priority if a request of an active
-// event is queued and a stream outside any event can be preempted. It returns the
-// stream's engine, which the queued request should take, or "". The preempted
-// stream keeps its tokens and queues to continue. Streams that have not produced
+// preemptLowest preempts this node's stream of lowest priority if one outside any event can be
+// preempted. It returns the stream's engine, which the queued request should take, or "". The
+// preempted stream keeps its tokens and queues to continue. Streams that have not produced
 // a new token are skipped, because they may still be queued at the engine.
 func (q *modelQueue) preemptLowest() (engine string) {
-	if q.queue.HighestPriority() < catalog.EventPriority {
-		return ""
-	}
 	var victim *completionRun
 	for r := range q.preemptible {
 		if _, n := r.flight.Delivered(); n <= r.baseTokens {
--- a/test/overload_test.go
+++ b/test/overload_test.go
@@ -58,6 +58,44 @@
 	t.Logf("urgent response after %d ms; tokens carried over by paused streams %v, recomputed %v", r.duration.Milliseconds(), b.counterByLabel("tokens_carried", "cause"), b.counterByLabel("tokens_recomputed", "cause"))
 }
 
+// Guards against an urgent request that waits for the slots of its event, as none of the streams
+// that hold them came through its own node.
+func TestEventPreemptsStreamsOfOtherNodes(t *testing.T) {
+	is := is.New(t)
+	event := catalog.Resource{Kind: catalog.KindEvent, Name: "opening", Event: &catalog.Event{
+		Start: time.Now().Add(-time.Minute), End: time.Now().Add(time.Hour), Models: []catalog.EventModel{{Name: "climb", Servers: 1}},
+		Customers: []catalog.EventCustomer{{Name: "clinics", FirstTokenMS: 3000}}, Priority: 5,
+	}}
+	b := newTestbed(t, options{nodes: 3, domains: 3, engines: 3, modelServers: 1, engineShape: "slots: 2, step_ms: 20", entry: "routing: {overshoot: 1, report: 200ms}", extra: []catalog.Resource{event}})
+	const streams, tokens = 12, 150 // twice the slots, at least 3 s each
+	responses := make([]response, streams)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		runConcurrently(streams, func(i int) { responses[i] = b.nodes[1+i%2].send(chatRequest(longPrompt(i), tokens, true)) })
+	}()
+	b.eventually("node 0 sees all engines full", func() bool {
+		full := 0
+		for _, u := range b.state(b.nodes[0]).Upstreams {
+			if u.Busy >= 2 {
+				full++
+			}
+		}
+		return full == 3
+	})
+	urgent := chatRequest("When is the next chair free?", 10, true)
+	urgent.bearer = clinicKey
+	r := b.nodes[0].send(urgent)
+	t.Logf("urgent response after %d ms", r.duration.Milliseconds())
+	is.True(r.complete)
+	is.True(r.duration < 2*time.Second) // the other streams would keep their slots longer
+	<-done
+	for _, s := range responses {
+		is.True(s.complete)
+		is.Equal(len(s.tokens), tokens)
+	}
+}
+
 // Requests that cannot be served in time must be refused within a second, with a
 // Retry-After-Ms.
 func TestOverloadIsRefusedAtOnce(t *testing.T) {
