gateway: a server that refuses connections counts as a possible crash while the others are asked

Cause: until the others had replied (up to 0.2 s beside load) the server did not count as crashed, nor as possibly crashed. It now does from the refusal on, and no longer once a node reaches it, or none reaches the service; the other nodes connect without waiting whether the connection stays open.

--- a/src/gateway/crash.go
+++ b/src/gateway/crash.go
@@ -20,9 +20,11 @@
 )
 
 // crashCheck finds out whether a server has crashed. probed is closed when a first
-// attempt to connect has shown whether it is gone, and done when the result is final.
+// attempt to connect has shown whether it may be gone, judged when the other nodes have been
+// asked about it, and done when the result is final.
 type crashCheck struct {
 	probed      chan struct{}
+	judged      chan struct{}
 	done        chan struct{}
 	started     time.Time
 	crashed     atomic.Bool
@@ -62,7 +64,7 @@
 			delete(d.checks, other)
 		}
 	}
-	c := &crashCheck{probed: make(chan struct{}), done: make(chan struct{}), started: clock.Now()}
+	c := &crashCheck{probed: make(chan struct{}), judged: make(chan struct{}), done: make(chan struct{}), started: clock.Now()}
 	d.checks[s] = c
 	go func() {
 		defer close(c.done)
@@ -78,30 +80,9 @@
 // run checks the server now and, as a proxy may accept connections in its place or a
 // partition hide it, watches for a while whether it is back with a later start.
 func (d *crashDetector) run(c *crashCheck, s *upstream) {
-	draining, listed := d.pool.status(s)
-	if draining {
-		close(c.probed)
+	if goOn := d.begin(c, s); !goOn {
 		return
 	}
-	c.findRestart(d.pool, s)
-	if !c.crashed.Load() && listed {
-		result := d.prober.probe(s.address)
-		if result == probeRefused {
-			d.pool.markUnreachable(s)
-			switch d.judge(s) {
-			case verdictPartitioned:
-				klog.InfoS("server_partitioned", "server", s.id, "started_ms", s.startedMS)
-				close(c.probed)
-				return
-			case verdictCrashed:
-				c.crashed.Store(true)
-			case verdictUnclear:
-				result = probeNoAnswer
-			}
-		}
-		d.setUnreachable(c, s, result)
-	}
-	close(c.probed)
 	for !c.crashed.Load() && clock.Since(c.started) < d.watchPeriod {
 		time.Sleep(min(crashPollInterval, d.watchPeriod))
 		if draining, _ := d.pool.status(s); draining {
@@ -114,6 +95,41 @@
 	}
 }
 
+// begin makes the first attempt to connect to a server and, if it refuses, asks the other nodes.
+// It reports whether to go on watching it.
+func (d *crashDetector) begin(c *crashCheck, s *upstream) bool {
+	defer close(c.judged)
+	draining, listed := d.pool.status(s)
+	if draining {
+		close(c.probed)
+		return false
+	}
+	c.findRestart(d.pool, s)
+	if c.crashed.Load() || !listed {
+		close(c.probed)
+		return true
+	}
+	result := d.prober.probe(s.address)
+	d.setUnreachable(c, s, result)
+	close(c.probed) // it may have crashed, until other nodes say otherwise
+	return result != probeRefused || d.confirm(c, s)
+}
+
+// confirm asks the other nodes about a server that refuses connections, and reports whether to
+// go on watching it.
+func (d *crashDetector) confirm(c *crashCheck, s *upstream) bool {
+	switch d.judge(s) {
+	case verdictPartitioned:
+		klog.InfoS("server_partitioned", "server", s.id, "started_ms", s.startedMS)
+		return false
+	case verdictCrashed:
+		c.crashed.Store(true)
+	case verdictUnclear:
+		c.unreachable.Store(false)
+	}
+	return true
+}
+
 // setUnreachable records whether a server closes connections: if so, it gets no requests until
 // a probe finds that it accepts them.
 func (d *crashDetector) setUnreachable(c *crashCheck, s *upstream, result probeResult) {
--- a/src/gateway/crash_evidence.go
+++ b/src/gateway/crash_evidence.go
@@ -62,7 +62,7 @@
 func (d *crashDetector) connectsToAny(servers []*upstream) bool {
 	results := make(chan bool, len(servers))
 	for _, s := range servers {
-		go func() { results <- d.prober.connects(s.address) }()
+		go func() { results <- d.prober.connect(s.address) == probeAccepted }()
 	}
 	for range servers {
 		if <-results {
@@ -78,7 +78,7 @@
 	if s == nil {
 		return &cluster.ProbeReply{}
 	}
-	switch n.prober.probe(s.address) {
+	switch n.prober.connect(s.address) {
 	case probeAccepted:
 		return &cluster.ProbeReply{Result: cluster.ProbeResult_REACHED}
 	case probeRefused:
--- a/src/gateway/probe.go
+++ b/src/gateway/probe.go
@@ -32,35 +32,41 @@
 
 func newProber() *prober { return &prober{dial: (&net.Dialer{}).DialContext} }
 
-// connects reports whether an address accepts a connection.
-func (p *prober) connects(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	conn, err := p.dial(ctx, "tcp", address)
-	if err != nil {
-		return false
+// connect connects to an address and closes the connection at once.
+func (p *prober) connect(address string) probeResult {
+	c, result := p.open(address)
+	if c != nil {
+		_ = c.Close()
 	}
-	_ = conn.Close()
-	return true
+	return result
 }
 
 // probe connects to an address and waits a moment whether the connection stays open.
 func (p *prober) probe(address string) probeResult {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	conn, err := p.dial(ctx, "tcp", address)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return probeRefused
-	case err != nil:
-		return probeNoAnswer
+	c, result := p.open(address)
+	if c == nil {
+		return result
 	}
-	defer func() { _ = conn.Close() }()
-	if err := conn.SetReadDeadline(time.Now().Add(probeHold)); err != nil {
+	defer func() { _ = c.Close() }()
+	if err := c.SetReadDeadline(time.Now().Add(probeHold)); err != nil {
 		return probeClosed
 	}
-	if _, err := conn.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	if _, err := c.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		return probeClosed
 	}
 	return probeAccepted
 }
+
+// open returns a connection to an address, or nil and the reason.
+func (p *prober) open(address string) (net.Conn, probeResult) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, "tcp", address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, probeRefused
+	case err != nil:
+		return nil, probeNoAnswer
+	}
+	return c, probeAccepted
+}
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -135,9 +135,13 @@
 		defer n.quarantine.Explain(interruption)
 		<-check.probed
 		if check.unreachable.Load() {
-			n.quarantine.SetUnreachable(interruption)
+			n.quarantine.SetUnreachable(interruption, true)
 			n.peers.TriggerUrgentExchange()
 		}
+		<-check.judged
+		if !check.unreachable.Load() {
+			n.quarantine.SetUnreachable(interruption, false)
+		}
 		<-check.done
 		if at, ok := check.crashTime(n.upstreams, s, failedAt, crash.EndedAt); ok {
 			crash.At = at
--- a/src/quarantine/interruption.go
+++ b/src/quarantine/interruption.go
@@ -70,13 +70,13 @@
 	l.changed()
 }
 
-// SetUnreachable records that the server of an interruption closes new connections.
-func (l *List) SetUnreachable(i Interruption) {
+// SetUnreachable records whether the server of an interruption closes new connections.
+func (l *List) SetUnreachable(i Interruption, unreachable bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for index, own := range l.interruptions.own[i.Digest] {
 		if own.sameSend(i) {
-			l.interruptions.own[i.Digest][index].Unreachable = true
+			l.interruptions.own[i.Digest][index].Unreachable = unreachable
 		}
 	}
 	l.changed()
--- a/src/quarantine/interruption_test.go
+++ b/src/quarantine/interruption_test.go
@@ -49,7 +49,7 @@
 	last.Unreachable = false
 	l.Interrupt(last)
 	is.True(!l.Standing(d).Held)
-	l.SetUnreachable(last)
+	l.SetUnreachable(last, true)
 	is.Equal(l.Standing(d), Standing{Held: true, Suspected: true, Possible: 3})
 	is.Equal(len(l.Interruptions(1)), 1)
 	l.Explain(last) // its server has not crashed
