gateway: the log of a refusal says how long the request had been held

TestCallersAreToldWhenAllServersRest failed once beside load (a refusal took over 50 ms for its client), and no line told whether the gateway or the machine took that time.

--- a/src/gateway/accept_forwarded.go
+++ b/src/gateway/accept_forwarded.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/crankridge/crankridge/src/clock"
 )
@@ -15,14 +16,14 @@
 func (n *Node) serveForwarded(w http.ResponseWriter, r *http.Request) {
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
-	if refused := n.acceptForwarded(w, r); refused != nil {
+	arrived := clock.Now()
+	if refused := n.acceptForwarded(w, r, arrived); refused != nil {
 		w.Header().Set(headerRefused, refused.code)
-		n.writeRefusal(w, r, refused)
+		n.writeRefusal(w, r, refused, arrived)
 	}
 }
 
-func (n *Node) acceptForwarded(w http.ResponseWriter, r *http.Request) *refusal {
-	arrived := clock.Now()
+func (n *Node) acceptForwarded(w http.ResponseWriter, r *http.Request, arrived time.Time) *refusal {
 	version, runs, ok := takeForwardHeaders(r)
 	switch {
 	case !ok || !n.isNodeAddress(r.RemoteAddr):
