--- a/src/gateway/brittle.go
+++ b/src/gateway/brittle.go
@@ -35,6 +35,15 @@
 	at         time.Time // in the time on which the nodes agree; zero if it has said nothing
 }
 
+// brittleState is what bounds this node's requests to a brittle server.
+type brittleState struct {
+	brittle     brittleness
+	unconfirmed int         // requests in progress that have no response header yet
+	rejectedAt  []time.Time // rejections within rejectionWindow
+	room        int         // requests of this node that it had accepted at the latest rejection
+	roomAt      time.Time   // time of that rejection; zero if there was none
+}
+
 // places is this node's part of a brittle server.
 type places struct {
 	own        int // requests that this node may have in progress there
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -14,7 +14,6 @@
 
 	"github.com/crankridge/crankridge/src/clock"
 	"github.com/crankridge/crankridge/src/quarantine"
-	"github.com/crankridge/crankridge/src/request"
 )
 
 // Limits of resending, and the responses when it fails.
@@ -63,18 +62,9 @@
 	f.counted, f.usageCounted = req.earlierRuns > 0, req.earlierRuns > 0
 	for {
 		if to, ok := f.nextPeer(); ok {
-			if f.reached > 0 && !f.spendRetryBudget() {
-				return f.finishFull(ctx)
-			}
-			if done, refused := f.tryPeer(ctx, to); done || refused != nil {
+			if ended, refused := f.forwardToPeer(ctx, to); ended {
 				return refused
 			}
-			if ctx.Err() != nil {
-				return f.finish(ctx, codeTimeout, 0)
-			}
-			if !f.mayResend() {
-				return f.finishFull(ctx)
-			}
 			continue
 		}
 		f.count()
@@ -87,11 +77,8 @@
 		}
 		picked := n.chooseServer(req, standing, f.excluded)
 		s := picked.server
-		if picked.reserved && n.upstreams.reach(req.service).share() < poorReach {
-			return f.finish(ctx, codeUnreachable, request.JitterUp(unreachableRetryAfter)) // most servers are not known to have crashed
-		}
 		if picked.reserved {
-			return f.finishHeld(ctx)
+			return f.finishReserved(ctx)
 		}
 		if s == nil {
 			return f.finishWithoutServer(ctx, picked)
@@ -346,70 +333,6 @@
 	}
 }
 
-// finishWithoutServer ends a request that no server may be sent to now.
-func (f *forwarder) finishWithoutServer(ctx context.Context, picked choice) *refusal {
-	limitWait := picked.wait
-	if picked.full && limitWait == 0 {
-		limitWait = placesRetryAfter
-	}
-	restWait, allRest := f.node.upstreams.restWait(f.req.service)
-	switch {
-	case limitWait > 0 && restWait > 0:
-		return f.finish(ctx, codeServersLimited, returnAfter(min(limitWait, restWait), f.req.priority))
-	case limitWait > 0:
-		return f.finish(ctx, codeServersLimited, returnAfter(limitWait, f.req.priority))
-	case allRest:
-		return f.finish(ctx, codeServersResting, returnAfter(restWait, f.req.priority))
-	}
-	if f.node.upstreams.reach(f.req.service).none() {
-		return f.finish(ctx, codeUnreachable, request.JitterUp(unreachableRetryAfter))
-	}
-	return f.finish(ctx, codeNoServer, request.Jitter(noServerRetryAfter))
-}
-
-// finishFull ends a request that may not be sent to another server.
-func (f *forwarder) finishFull(ctx context.Context) *refusal {
-	switch {
-	case f.node.upstreams.reach(f.req.service).none():
-		return f.finish(ctx, codeUnreachable, request.JitterUp(unreachableRetryAfter))
-	case f.rejections == 0:
-		return f.finish(ctx, codeUnreachable, request.Jitter(noServerRetryAfter))
-	}
-	if restWait, allRest := f.node.upstreams.restWait(f.req.service); allRest {
-		return f.finish(ctx, codeServersResting, returnAfter(restWait, f.req.priority))
-	}
-	return f.finish(ctx, codeServersFull, request.Jitter(serversFullRetryAfter))
-}
-
-// finish ends a request that no server completed. It aborts the connection if
-// the client has gone or part of a response was sent, relays a held-back 5xx
-// response, or returns a refusal.
-func (f *forwarder) finish(ctx context.Context, code string, retryAfter time.Duration) *refusal {
-	req := f.req
-	if f.runs == 0 {
-		f.refundQuota()
-	}
-	if req.request.Context().Err() != nil || f.response.headerSent {
-		f.log("broken_off", "", ctx.Err())
-		// Abort the connection so that the client sees a truncated response.
-		panic(http.ErrAbortHandler)
-	}
-	if f.lastFailure != nil {
-		f.lastFailure.Body = io.NopCloser(bodyReader(f.lastFailureBody))
-		if f.response.relayWhole(f.lastFailure, f.node.stopping()) == nil {
-			return nil
-		}
-		panic(http.ErrAbortHandler)
-	}
-	switch {
-	case ctx.Err() != nil:
-		return &refusal{status: http.StatusGatewayTimeout, code: codeTimeout}
-	case f.runs > 0:
-		return &refusal{status: outcomeUnknownStatus, code: codeOutcomeUnknown}
-	}
-	return &refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: retryAfter, logValues: f.budgetLogValues}
-}
-
 // log logs the end of a send or of the request. A success at the first send is
 // logged at verbosity 1 only.
 func (f *forwarder) log(what, server string, err error) {
--- a/src/gateway/forward_peer.go
+++ b/src/gateway/forward_peer.go
@@ -183,6 +183,24 @@
 	return out
 }
 
+// forwardToPeer forwards the request to another node. ended reports whether the client's request
+// has ended, with a response or with the refusal that is returned.
+func (f *forwarder) forwardToPeer(ctx context.Context, to peer) (ended bool, refused *refusal) {
+	if f.reached > 0 && !f.spendRetryBudget() {
+		return true, f.finishFull(ctx)
+	}
+	done, refused := f.tryPeer(ctx, to)
+	switch {
+	case done || refused != nil:
+		return true, refused
+	case ctx.Err() != nil:
+		return true, f.finish(ctx, codeTimeout, 0)
+	case !f.mayResend():
+		return true, f.finishFull(ctx)
+	}
+	return false, nil
+}
+
 // tryPeer forwards the request to another node and relays the response. done reports whether
 // the client has received a complete one. A refusal is final; without either, the node did not
 // serve the request, or its response ended early.
--- a/src/gateway/reach.go
+++ b/src/gateway/reach.go
@@ -30,6 +30,16 @@
 // attempt has failed.
 var errServerUnreachable = errors.New("server is unreachable from this node")
 
+// reachState is whether this node can connect to a server.
+type reachState struct {
+	unreachable      bool
+	unreachableSince time.Time
+	heardAt          time.Time     // when something came from it last, over any connection
+	probeAt          time.Time     // if unreachable, when it is probed next
+	probeInterval    time.Duration // between two probes
+	probeRunning     bool
+}
+
 // dialServer returns a dial function for connections to a server. Servers that cannot be
 // connected to are probed in the background, not by the requests of clients.
 func (p *upstreamPool) dialServer(s *upstream) dialFunc {
--- a/src/gateway/silence.go
+++ b/src/gateway/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -18,11 +19,23 @@
 	silenceInterval  = time.Second            // between two probes of a server that accepts connections
 	abandonDelay     = time.Second            // without any reachable server, until sends that may be repeated are given up
 	responseStall    = 700 * time.Millisecond // without a response header on a reused connection, after which it may have stalled
-	resetWindow      = time.Second
-	resetServers     = 3
-	idleCloseSpacing = 5 * time.Second // between two such closes for one server
+	resetWindow      = time.Second            // in which resets of several servers have a common cause
+	resetServers     = 3                      // servers, of which that many resets are several
+	idleCloseSpacing = 5 * time.Second        // between two such closes for one server
 )
 
+// silenceState is what shows that open connections to a server have gone silent.
+type silenceState struct {
+	waitingSince    time.Time          // when the requests in progress began after there were none
+	silenceProbedAt time.Time          // when it was probed last for being silent
+	answeredSentAt  time.Time          // latest time of sending of a request that got a response
+	resetAt         time.Time          // when an open connection to it was reset last
+	idleClosedAt    time.Time          // when its idle connections were closed last after one had stalled
+	abandonCtx      context.Context    // canceled when sends that may be repeated are given up
+	abandon         context.CancelFunc // cancels abandonCtx
+	abandoned       bool               // since the server became unreachable
+}
+
 // silenceStep looks for services whose servers have all gone silent, and gives up what may be
 // repeated where this node reaches none of them but another node does.
 func (n *Node) silenceStep() {
--- a/src/gateway/upstreams.go
+++ b/src/gateway/upstreams.go
@@ -60,32 +60,16 @@
 	failureRate         float64
 	ejectedUntil        time.Time
 	ejection            time.Duration
-	unreachable         bool // this node cannot connect to it
-	unreachableSince    time.Time
-	heardAt             time.Time     // when something came from it last
-	probeAt             time.Time     // if unreachable, when it is probed next
-	probeInterval       time.Duration // between two probes
-	probeRunning        bool
-	waitingSince        time.Time // when the requests in progress began after there were none
-	silenceProbedAt     time.Time // when it was probed last for being silent
-	answeredSentAt      time.Time // latest time of sending of a request that got a response
-	brittle             brittleness
-	unconfirmed         int                // requests in progress that have no response header yet
-	rejectedAt          []time.Time        // rejections within rejectionWindow
-	room                int                // requests of this node that it had accepted at the latest rejection
-	roomAt              time.Time          // time of that rejection; zero if there was none
-	resetAt             time.Time          // when an open connection to it was reset last
-	idleClosedAt        time.Time          // when its idle connections were closed last after one had stalled
-	abandonCtx          context.Context    // canceled when sends that may be repeated are given up
-	abandon             context.CancelFunc // cancels abandonCtx
-	abandoned           bool               // since the server became unreachable
-	restUntil           time.Time          // end of the latest rest that the server has asked for
-	rejections          int                // in a row
-	backoffUntil        time.Time          // after a rejection, until which other servers are preferred
-	probing             bool               // one request at a time, until the server accepts one after a rejection
-	recoveringUntil     time.Time          // see totalRequests
-	unlistedAt          time.Time          // when its entry was found gone; zero while it is listed
-	remoteLoad          serverLoad         // latest reported load of all other nodes
+	restUntil           time.Time  // end of the latest rest that the server has asked for
+	rejections          int        // in a row
+	backoffUntil        time.Time  // after a rejection, until which other servers are preferred
+	probing             bool       // one request at a time, until the server accepts one after a rejection
+	recoveringUntil     time.Time  // see totalRequests
+	unlistedAt          time.Time  // when its entry was found gone; zero while it is listed
+	remoteLoad          serverLoad // latest reported load of all other nodes
+	reachState
+	silenceState
+	brittleState
 }
 
 // serverLoad is the load that one or more nodes put on a server.
