gateway: a request is forwarded also if its servers are found unreachable while it chooses

Cause: whether to forward was decided before the choice of a server, and other requests found the last servers unreachable in between; failures known from them did not count for the request.

--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -81,6 +81,9 @@
 			return f.finishReserved(ctx)
 		}
 		if s == nil {
+			if _, ok := f.nextPeer(); ok {
+				continue // other requests have found the servers unreachable meanwhile
+			}
 			return f.finishWithoutServer(ctx, picked)
 		}
 		if f.reached > 0 && !f.spendRetryBudget() {
@@ -249,6 +252,7 @@
 	switch {
 	case errors.Is(err, errServerUnreachable):
 		f.sends-- // nothing was tried
+		f.unconnected++
 		n.upstreams.recordNoConnection(s)
 	case n.upstreams.isUnreachable(s):
 		f.unconnected++
