--- a/src/ctl/trace.go
+++ b/src/ctl/trace.go
@@ -137,7 +137,9 @@
 	case last.event == "refused" && last.fields["code"] == "crashes_servers":
 		return "refused, not run: earlier attempts of the same request crashed " + last.fields["crashes"] + " servers (" + last.fields["servers"] + "); search the logs for \"suspected\" lines with its digest " + last.fields["digest"]
 	case last.event == "refused" && last.fields["code"] == "servers_limited":
-		return "refused: all servers that could take it have named a limit, and this node's shares of their limits were used up; retry after " + last.fields["wait_ms"] + " ms (see \"server_limit\" lines)"
+		return "refused: all servers that could take it have named a limit or are brittle, and this node's shares of them were used up; retry after " + last.fields["wait_ms"] + " ms (see \"server_limit\" and \"server_brittle\" lines)"
+	case last.event == "refused" && last.fields["code"] == "servers_unreachable":
+		return "refused: its node could not connect to any server that could take it, and knew no other node that could; retry after " + last.fields["wait_ms"] + " ms (see \"service_reach\" lines)"
 	case last.event == "refused" && last.fields["code"] == "servers_resting":
 		return "refused, not run: all servers that could take it have asked its node for rest; retry after " + last.fields["wait_ms"] + " ms (see \"server_rest\" lines)"
 	case last.event == "refused":
@@ -146,6 +148,8 @@
 		return "its stream was cut after " + last.fields["events"] + " events (" + failure + ")"
 	case last.fields["what"] == "broken_off":
 		return "its client disconnected, or its connection was lost, before any response (" + failure + ")"
+	case last.fields["what"] == "forwarded":
+		return "served through node " + last.fields["server"] + ", as its own node could not connect to the servers (see \"service_reach\" lines)"
 	case last.fields["what"] == "answered":
 		return fmt.Sprintf("answered after %s sends, of which %s may have run", last.fields["sends"], last.fields["runs"])
 	}
--- a/src/ctl/trace_test.go
+++ b/src/ctl/trace_test.go
@@ -98,6 +98,19 @@
 	is.True(strings.Contains(trace.conclusion, "3100 ms"))
 }
 
+func TestTraceOfRequestAtNodeThatReachesNoServer(t *testing.T) {
+	is := is.New(t)
+	refused := traceOf(t, "r1", map[string][]string{"node-1": {
+		formatLine(2, "refused", `id="r1" status=503 code="servers_unreachable" after_ms=1 wait_ms=900 version=7`),
+	}})
+	is.True(strings.Contains(refused.conclusion, "could not connect"))
+	is.True(strings.Contains(refused.conclusion, "900 ms"))
+	served := traceOf(t, "r1", map[string][]string{"node-1": {
+		formatLine(2, "request", `id="r1" what="forwarded" server="node-2" route="book" kind="once" sends=0 runs=1 events=0 after_ms=9 err=null`),
+	}})
+	is.True(strings.Contains(served.conclusion, "through node node-2"))
+}
+
 func TestTraceOfUnloggedRequest(t *testing.T) {
 	is := is.New(t)
 	trace := traceOf(t, "r1", map[string][]string{"node-1": {"not a klog line", formatLine(1, "refused", `id="r10" status=429 code="quota"`)}})
