cluster: one function for the latest statement of each run of a server

The limits and the brittleness of servers were merged by two copies of the same lines. No change of behaviour; TestSummaryCarriesLatestNewsOfBrittleServers covers what hubs pass on.

--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -204,17 +204,34 @@
 	return out[:min(len(out), maxSuspects)]
 }
 
+// statement is what a run of a server has said.
+type statement interface {
+	GetServer() string
+	GetStartedMs() int64
+	GetAtUs() int64
+}
+
+// latestOfRuns returns the latest statement of each run of a server.
+func latestOfRuns[S statement](list []S) []S {
+	latest := map[string]S{}
+	for _, s := range list {
+		key := fmt.Sprint(s.GetServer(), "/", s.GetStartedMs())
+		if known, ok := latest[key]; !ok || s.GetAtUs() > known.GetAtUs() {
+			latest[key] = s
+		}
+	}
+	return slices.Collect(maps.Values(latest))
+}
+
+// compareAge orders statements by age, the latest first.
+func compareAge[S statement](a, b S) int {
+	return cmp.Or(cmp.Compare(b.GetAtUs(), a.GetAtUs()), cmp.Compare(a.GetServer(), b.GetServer()))
+}
+
 // latestLimits returns the latest report about each server, at most maxLimits, those
 // that name a limit first.
 func latestLimits(list []*ServerLimit) []*ServerLimit {
-	latest := map[string]*ServerLimit{}
-	for _, limit := range list {
-		key := fmt.Sprint(limit.Server, "/", limit.StartedMs)
-		if known := latest[key]; known == nil || limit.AtUs > known.AtUs {
-			latest[key] = limit
-		}
-	}
-	out := slices.Collect(maps.Values(latest))
+	out := latestOfRuns(list)
 	slices.SortFunc(out, func(a, b *ServerLimit) int {
 		switch {
 		case a.Limited && !b.Limited:
@@ -222,24 +239,15 @@
 		case b.Limited && !a.Limited:
 			return 1
 		}
-		return cmp.Or(cmp.Compare(b.AtUs, a.AtUs), cmp.Compare(a.Server, b.Server))
+		return compareAge(a, b)
 	})
 	return out[:min(len(out), maxLimits)]
 }
 
 // latestBrittle returns the latest news of each server, at most maxLimits.
 func latestBrittle(list []*BrittleServer) []*BrittleServer {
-	latest := map[string]*BrittleServer{}
-	for _, news := range list {
-		key := fmt.Sprint(news.Server, "/", news.StartedMs)
-		if known := latest[key]; known == nil || news.AtUs > known.AtUs {
-			latest[key] = news
-		}
-	}
-	out := slices.Collect(maps.Values(latest))
-	slices.SortFunc(out, func(a, b *BrittleServer) int {
-		return cmp.Or(cmp.Compare(b.AtUs, a.AtUs), cmp.Compare(a.Server, b.Server))
-	})
+	out := latestOfRuns(list)
+	slices.SortFunc(out, compareAge)
 	return out[:min(len(out), maxLimits)]
 }
 
