gateway: a node without a place at a brittle server forwards to one that has

Where a brittle server has fewer places than there are nodes, callers of the nodes without one were refused while it had room. Cause: the places are divided, and a node could only refuse once its part was used up. It forwards the request once to a node that has places there, which every node can work out from the order of owners. Servers whose slots are not known count as having one for each node; none was sent anything while it was brittle. TestBrittleServerWithFewerPlacesThanNodesServesAllCallers failed before (503).

--- a/src/gateway/brittle.go
+++ b/src/gateway/brittle.go
@@ -131,8 +131,12 @@
 	return part
 }
 
-// placesAt returns this node's part of a brittle server.
+// placesAt returns this node's part of a brittle server. One whose slots are not known is taken
+// to have one for each node.
 func placesAt(self string, nodes []string, server string, slots, rejections int) places {
+	if slots <= 0 {
+		slots = len(nodes)
+	}
 	return places{
 		own:        divide(slots, admit.Rank(self, nodes, server), len(nodes)),
 		rejections: divide(rejections, admit.Rank(self, nodes, "rejections/"+server), len(nodes)),
@@ -183,6 +187,22 @@
 	return rejected+atRisk < part.rejections && c.requests < c.slots
 }
 
+// nextOwner returns a node that has places at the brittle servers of the request's service, if
+// only their places leave this node no server. A request is forwarded for that once.
+func (f *forwarder) nextOwner(picked choice) (peer, bool) {
+	n := f.node
+	if !picked.full || f.req.forwarded || f.req.trialVersion != "" || f.soughtPlace {
+		return peer{}, false
+	}
+	f.soughtPlace = true
+	nodes := append(n.roster.Others(), n.initial.Node)
+	servers := n.upstreams.candidates(f.req.service, f.excluded)
+	owners := slices.DeleteFunc(n.peersFor(f.req.service, f.triedPeers), func(p peer) bool {
+		return !slices.ContainsFunc(servers, func(c candidate) bool { return placesAt(p.node, nodes, c.id, c.slots, 0).own > 0 })
+	})
+	return bestPeer(owners)
+}
+
 // recentRejections returns how many requests of this node the server has rejected within
 // rejectionWindow. The caller holds the pool's lock.
 func (s *upstream) recentRejections(now time.Time) int {
--- a/src/gateway/brittle_test.go
+++ b/src/gateway/brittle_test.go
@@ -48,6 +48,9 @@
 			sum.own += part.own
 			sum.rejections += part.rejections
 		}
+		if slots == 0 {
+			slots = count // not known
+		}
 		if sum.own != slots || sum.rejections != rejections {
 			t.Fatalf("%d nodes: %+v of %d places and %d rejections", count, sum, slots, rejections)
 		}
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -40,6 +40,7 @@
 	counted         bool // among the requests that this node sends to servers
 	usageCounted    bool
 	rejections      int             // by servers
+	soughtPlace     bool            // it was forwarded to a node with places at brittle servers
 	unconnected     int             // servers that this request could not connect to
 	triedPeers      map[string]bool // nodes that it was forwarded to
 	pendingPrefill  int64           // tokens counted in the current server's backlog
@@ -84,6 +85,11 @@
 			if _, ok := f.nextPeer(); ok {
 				continue // other requests have found the servers unreachable meanwhile
 			}
+			if to, ok := f.nextOwner(picked); ok {
+				if ended, refused := f.forwardToPeer(ctx, to); ended {
+					return refused
+				}
+			}
 			return f.finishWithoutServer(ctx, picked)
 		}
 		if f.reached > 0 && !f.spendRetryBudget() {
--- a/test/server_brittle_test.go
+++ b/test/server_brittle_test.go
@@ -120,3 +120,22 @@
 		})
 	}
 }
+
+// Guards against callers of nodes that have no place at a brittle server, as it has fewer than
+// there are nodes, being refused while it has room.
+func TestBrittleServerWithFewerPlacesThanNodesServesAllCallers(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	b := newGatewayTestbed(t)
+	s := b.startServer("i-1")
+	s.SetSlots(brittleSlots, time.Millisecond)
+	nodes := b.startNodes(2 * brittleSlots)
+	s.SetBrittle(0, 0, brittleDowntime, func() {})
+	is.Equal(nodes[0].send(gatewayRequest{method: http.MethodPost, path: "/once/x", id: "brittle"}).status, http.StatusOK)
+	time.Sleep(time.Second) // the nodes tell each other
+	for i := range 5 * len(nodes) {
+		got := nodes[i%len(nodes)].send(gatewayRequest{method: http.MethodPost, path: "/once/x", id: fmt.Sprint("few-", i)})
+		is.Equal(got.status, http.StatusOK)
+	}
+	is.Equal(s.Crashes(), 0)
+}
