gateway: what servers have rejected at one node is not forwarded to the next

Cause: a node that had no server left refused a forwarded request as unreachable, or for want of a server, also after servers had rejected it there. The first node took that for not sent, and forwarded it to the next, whose send no budget counted. Such a refusal now says that servers were full, which is final.

--- a/src/gateway/finish.go
+++ b/src/gateway/finish.go
@@ -38,18 +38,23 @@
 	case allRest:
 		return f.finish(ctx, codeServersResting, returnAfter(restWait, f.req.priority))
 	}
-	if f.node.upstreams.reach(f.req.service).none() {
+	switch {
+	case f.reached > 0:
+		return f.finishFull(ctx)
+	case f.node.upstreams.reach(f.req.service).none():
 		return f.finishUnreachable(ctx)
 	}
 	return f.finish(ctx, codeNoServer, request.Jitter(noServerRetryAfter))
 }
 
-// finishFull ends a request that may not be sent to another server.
+// finishFull ends a request that may not be sent to another server. Of one that has reached a
+// server it says so: a node that has forwarded it does not try another node.
 func (f *forwarder) finishFull(ctx context.Context) *refusal {
 	switch {
+	case f.reached > 0:
 	case f.node.upstreams.reach(f.req.service).none():
 		return f.finishUnreachable(ctx)
-	case f.rejections == 0:
+	default:
 		return f.finish(ctx, codeUnreachable, request.Jitter(noServerRetryAfter))
 	}
 	if restWait, allRest := f.node.upstreams.restWait(f.req.service); allRest {
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -39,7 +39,6 @@
 	crashes         int  // of these, those that ended because the server is gone
 	counted         bool // among the requests that this node sends to servers
 	usageCounted    bool
-	rejections      int             // by servers
 	soughtPlace     bool            // it was forwarded to a node with places at brittle servers
 	unconnected     int             // servers that this request could not connect to
 	triedPeers      map[string]bool // nodes that it was forwarded to
@@ -207,7 +206,6 @@
 		f.recordNotSent(ctx, s, result.err)
 		return false, result.err
 	case outcomeRefused:
-		f.rejections++
 		if result.response.StatusCode == http.StatusMisdirectedRequest {
 			n.markDraining(s)
 		} else {
--- a/test/server_cut_test.go
+++ b/test/server_cut_test.go
@@ -381,3 +381,34 @@
 		})
 	}
 }
+
+// Guards against sends that no retry budget counts: a request that servers have rejected at one
+// node was forwarded to the next as if it had not been sent.
+func TestForwardedRequestsKeepToRetryBudget(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	b := newGatewayTestbed(t)
+	b.linked = true
+	b.retries = "Bounds.RetryBudgetRatio=0\nBounds.ExtraRetries=0\n"
+	full := b.startServer("i-full")
+	b.startServer("i-cut")
+	nodes := b.startNodes(3)
+	full.SetBehavior(fake.Full)
+	nodes[0].links.cut(cutReset)
+	for _, n := range nodes[1:] {
+		n.links.cutSome(cutReset, func(id string) bool { return id == "i-cut" })
+	}
+	time.Sleep(time.Second)
+	for i := range 40 {
+		time.Sleep(100 * time.Millisecond) // a node that has rejected a request is not asked for a while
+		nodes[0].send(gatewayRequest{method: http.MethodPost, path: "/once/x", id: fmt.Sprint("budget-", i)})
+	}
+	arrivals, retries := map[string]int{}, 0
+	for _, a := range full.Arrivals() {
+		if arrivals[a.ID]++; arrivals[a.ID] > 1 {
+			retries++
+		}
+	}
+	t.Logf("%d requests arrived, %d of them again", len(arrivals), retries)
+	is.Equal(retries, 0)
+}
