gateway: a forwarded request is counted for the retry budget and the demand once

A request that its node had counted, as it tried servers of its own first, was counted again by the node that it was forwarded to: the budget of all nodes grew by a fifth of a retry, and the demand by its prompt, for each. Found by reading after the soak's failures; no test shows it alone. The first node now says whether it has counted the request, with the other headers between nodes.

--- a/src/gateway/accept_forwarded.go
+++ b/src/gateway/accept_forwarded.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -24,13 +25,13 @@
 }
 
 func (n *Node) acceptForwarded(w http.ResponseWriter, r *http.Request, arrived time.Time) *refusal {
-	version, runs, ok := takeForwardHeaders(r)
+	headers, ok := takeForwardHeaders(r)
 	switch {
 	case !ok || !n.isNodeAddress(r.RemoteAddr):
 		return &refusal{status: http.StatusForbidden, code: codeNotNode}
 	case n.stopping():
 		return &refusal{status: http.StatusServiceUnavailable, code: codeStopping, closeConn: true}
-	case n.version() < version:
+	case n.version() < headers.version:
 		return &refusal{status: http.StatusServiceUnavailable, code: codeOutdated}
 	}
 	r.RequestURI = r.URL.RequestURI() // as the client sent it
@@ -38,17 +39,27 @@
 	if refused != nil {
 		return refused
 	}
-	req.forwarded, req.earlierRuns = true, runs
+	req.forwarded, req.earlierRuns, req.counted = true, headers.runs, headers.counted
 	return n.admit(w, req)
 }
 
+// forwardHeaders is what the node that forwards a request says of it.
+type forwardHeaders struct {
+	version int64 // of the configuration in force there
+	runs    int   // of the request so far
+	counted bool  // the request is counted for the retry budget and the demand
+}
+
 // takeForwardHeaders removes the headers between nodes from a request and returns their values.
-func takeForwardHeaders(r *http.Request) (version int64, runs int, ok bool) {
-	version, versionErr := strconv.ParseInt(r.Header.Get(headerConfigVersion), 10, 64)
-	runs, runsErr := strconv.Atoi(r.Header.Get(headerRuns))
-	r.Header.Del(headerConfigVersion)
-	r.Header.Del(headerRuns)
-	return version, runs, versionErr == nil && runsErr == nil && runs >= 0
+func takeForwardHeaders(r *http.Request) (out forwardHeaders, ok bool) {
+	var errs [3]error
+	out.version, errs[0] = strconv.ParseInt(r.Header.Get(headerConfigVersion), 10, 64)
+	out.runs, errs[1] = strconv.Atoi(r.Header.Get(headerRuns))
+	out.counted, errs[2] = strconv.ParseBool(r.Header.Get(headerCounted))
+	for _, name := range []string{headerConfigVersion, headerRuns, headerCounted} {
+		r.Header.Del(name)
+	}
+	return out, errors.Join(errs[:]...) == nil && out.runs >= 0
 }
 
 // isNodeAddress reports whether a remote address belongs to the machine of a known node.
--- a/src/gateway/client_request.go
+++ b/src/gateway/client_request.go
@@ -32,6 +32,7 @@
 	digest        quarantine.Digest // computed by requestDigest when first needed
 	forwarded     bool              // by another node, which reaches no server
 	earlierRuns   int               // of a forwarded request, at other servers or nodes
+	counted       bool              // a forwarded request: for the retry budget and the demand, by another node
 	trialVersion  string            // if the request is quarantined: version of the servers that it may be tried at
 }
 
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -59,7 +59,7 @@
 	ctx, cancel := clock.WithDeadline(req.request.Context(), req.deadline)
 	defer cancel()
 	f := &forwarder{node: n, req: req, response: &clientResponse{writer: w}, excluded: map[string]bool{}, triedPeers: map[string]bool{}}
-	f.counted, f.usageCounted = req.earlierRuns > 0, req.earlierRuns > 0
+	f.counted, f.usageCounted = req.counted, req.earlierRuns > 0
 	for {
 		if to, ok := f.nextPeer(); ok {
 			if ended, refused := f.forwardToPeer(ctx, to); ended {
--- a/src/gateway/forward_peer.go
+++ b/src/gateway/forward_peer.go
@@ -34,6 +34,7 @@
 const (
 	headerConfigVersion = "Crankridge-Config-Version" // in force at the first node
 	headerRuns          = "Crankridge-Runs"           // of the request so far
+	headerCounted       = "Crankridge-Counted"        // whether a node has counted it among those that it sends to servers
 	headerRefused       = "Crankridge-Refused"        // in responses: the code of the second node's own refusal
 )
 
@@ -211,7 +212,7 @@
 	defer n.forwardPeers.end(to.node)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, result, err := n.sendToPeer(ctx, f.req, to, f.response.lastEventID, f.runs)
+	resp, result, err := n.sendToPeer(ctx, f, to)
 	n.metrics.Forwarded(f.req.service, result.String())
 	switch result {
 	case outcomeNotSent:
@@ -220,14 +221,12 @@
 		refused = f.peerRefusal(to, resp)
 		err = errPeerRefused
 	case outcomeUnknown:
-		f.reached++
-		f.runs++
+		f.recordPeerRun()
 		if ctx.Err() == nil {
 			n.forwardPeers.avoid(to.node)
 		}
 	case outcomeAnswered:
-		f.reached++
-		f.runs++
+		f.recordPeerRun()
 		err = f.relayFromPeer(resp)
 		_ = resp.Body.Close()
 	}
@@ -240,18 +239,25 @@
 	return false, refused
 }
 
+// recordPeerRun records that another node has sent the request to a server, or may have.
+func (f *forwarder) recordPeerRun() {
+	f.reached++
+	f.runs++
+	f.counted = true
+}
+
 // sendToPeer forwards the request to another node and reads the response header. The caller
 // must close the body if the request was answered.
-func (n *Node) sendToPeer(ctx context.Context, req *clientRequest, to peer, lastEventID string, runs int) (*http.Response, outcome, error) {
+func (n *Node) sendToPeer(ctx context.Context, f *forwarder, to peer) (*http.Response, outcome, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	resp, err := n.forwardPeers.transport.RoundTrip(n.peerRequest(ctx, req, to, lastEventID, runs))
+	resp, err := n.forwardPeers.transport.RoundTrip(n.peerRequest(ctx, f, to))
 	switch {
 	case err != nil && !connected.Load():
 		return nil, outcomeNotSent, err
 	case err != nil:
 		return nil, outcomeUnknown, err
-	case resp.Header.Get(n.headers.RequestID) != req.id:
+	case resp.Header.Get(n.headers.RequestID) != f.req.id:
 		_ = resp.Body.Close()
 		return nil, outcomeUnknown, errResponseMismatch
 	case resp.Header.Get(headerRefused) != "":
@@ -264,15 +270,16 @@
 
 // peerRequest builds the request to another node. It keeps the client's key, which that node
 // checks again.
-func (n *Node) peerRequest(ctx context.Context, req *clientRequest, to peer, lastEventID string, runs int) *http.Request {
-	in := req.request.URL
+func (n *Node) peerRequest(ctx context.Context, f *forwarder, to peer) *http.Request {
+	in := f.req.request.URL
 	target := &url.URL{Scheme: "http", Host: to.address, Path: forwardPrefix + in.Path, RawQuery: in.RawQuery, ForceQuery: in.ForceQuery}
 	if in.RawPath != "" {
 		target.RawPath = forwardPrefix + in.RawPath
 	}
-	out := n.outgoingRequest(ctx, req, target, lastEventID)
+	out := n.outgoingRequest(ctx, f.req, target, f.response.lastEventID)
 	out.Header.Set(headerConfigVersion, strconv.FormatInt(n.version(), 10))
-	out.Header.Set(headerRuns, strconv.Itoa(runs))
+	out.Header.Set(headerRuns, strconv.Itoa(f.runs))
+	out.Header.Set(headerCounted, strconv.FormatBool(f.counted))
 	return out
 }
 
--- a/test/server_cut_test.go
+++ b/test/server_cut_test.go
@@ -226,7 +226,7 @@
 	server := b.startServer("i-1")
 	n := b.startNodes(2)[0]
 	count := len(server.Runs())
-	forged := map[string]string{"Crankridge-Config-Version": "0", "Crankridge-Runs": "0"}
+	forged := map[string]string{"Crankridge-Config-Version": "0", "Crankridge-Runs": "0", "Crankridge-Counted": "false"}
 	is.Equal(n.send(gatewayRequest{method: http.MethodGet, path: "/forward/repeat/x", id: "f-1", header: forged}).status, http.StatusNotFound)
 	peers := &gatewayNode{settings: n.settings}
 	peers.settings.Listen.Callers = n.settings.Listen.Peers
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -50,6 +50,7 @@
 	13141368818159869680,
 	7519613443594826010,
 	14405179127387216923, // popular requests were quarantined for crashes that another one caused
+	15098448138622383870, // requests that servers had rejected at one node were forwarded to the next, beyond the retry budget
 }
 
 type soak struct {
