gateway: the crash of a service's only server is certain again

Since nodes ask each other about a server that refuses connections, the crash of the only server of a service counted only from its later start: no node reaches another server of it. A request that crashes it would be sent on for longer. Where there is no other server to compare with, a refusal counts, unless another node reaches it. TestOnlyServerOfServiceMayCrash failed before (unclear).

--- a/src/gateway/crash_evidence.go
+++ b/src/gateway/crash_evidence.go
@@ -40,7 +40,7 @@
 	if d.askPeers != nil {
 		replies = d.askPeers(ctx, &cluster.ProbeRequest{Server: s.id, StartedMs: s.startedMS})
 	}
-	return verdict(<-reached || len(others) == 0 && len(replies) == 0, replies)
+	return verdict(<-reached, replies)
 }
 
 // verdict combines the replies of the other nodes with whether this node, which is refused by
@@ -58,8 +58,12 @@
 	return verdictUnclear
 }
 
-// connectsToAny reports whether one of the servers accepts a connection.
+// connectsToAny reports whether one of the servers accepts a connection, or there are none, so
+// that nothing speaks against the node's link.
 func (d *crashDetector) connectsToAny(servers []*upstream) bool {
+	if len(servers) == 0 {
+		return true
+	}
 	results := make(chan bool, len(servers))
 	for _, s := range servers {
 		go func() { results <- d.prober.connect(s.address) == probeAccepted }()
--- a/src/gateway/crash_evidence_test.go
+++ b/src/gateway/crash_evidence_test.go
@@ -34,6 +34,19 @@
 	}
 }
 
+// Guards against a crash of a service's only server that is never certain, as no node reaches
+// another one.
+func TestOnlyServerOfServiceMayCrash(t *testing.T) {
+	is := is.New(t)
+	pool, _ := newReachPool(1)
+	pool.now = time.Now
+	d := newCrashDetector(pool, &prober{dial: func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }})
+	d.askPeers = func(context.Context, *cluster.ProbeRequest) []*cluster.ProbeReply {
+		return []*cluster.ProbeReply{{Result: cluster.ProbeResult_REFUSED, ServiceReached: d.connectsToAny(nil)}}
+	}
+	is.Equal(d.judge(pool.byService["s"][0]), verdictCrashed)
+}
+
 // Guards against a check of a partitioned server that goes on for seconds, in which its requests
 // count as possible crashes.
 func TestCheckEndsOnceAnotherNodeReachesServer(t *testing.T) {
