gateway: asking about a crash opens one connection, not eighteen

The asking node now connects to others first, one after the other until one accepts, and says so; the nodes asked do so only if it reached none.

--- a/src/gateway/crash_evidence.go
+++ b/src/gateway/crash_evidence.go
@@ -12,7 +12,7 @@
 // Evidence of other connections and nodes on a server that refuses connections.
 const (
 	evidenceTimeout = 200 * time.Millisecond // for which other nodes may take to probe it
-	evidenceServers = 2                      // other servers of the service that are connected to
+	evidenceServers = 2                      // other servers of the service that are connected to, one after the other
 )
 
 // crashVerdict is what a refused connection shows.
@@ -31,16 +31,14 @@
 // place: the other nodes are asked, and a refusal counts only from a node that reaches the
 // service otherwise.
 func (d *crashDetector) judge(s *upstream) crashVerdict {
+	reached := d.connectsToAny(d.pool.othersOf(s, evidenceServers))
 	ctx, cancel := context.WithTimeout(context.Background(), evidenceTimeout)
 	defer cancel()
-	others := d.pool.othersOf(s, evidenceServers)
-	reached := make(chan bool, 1)
-	go func() { reached <- d.connectsToAny(others) }()
 	var replies []*cluster.ProbeReply
 	if d.askPeers != nil {
-		replies = d.askPeers(ctx, &cluster.ProbeRequest{Server: s.id, StartedMs: s.startedMS})
+		replies = d.askPeers(ctx, &cluster.ProbeRequest{Server: s.id, StartedMs: s.startedMS, ServiceReached: reached})
 	}
-	return verdict(<-reached, replies)
+	return verdict(reached, replies)
 }
 
 // verdict combines the replies of the other nodes with whether this node, which is refused by
@@ -64,12 +62,8 @@
 	if len(servers) == 0 {
 		return true
 	}
-	results := make(chan bool, len(servers))
 	for _, s := range servers {
-		go func() { results <- d.prober.connect(s.address) == probeAccepted }()
-	}
-	for range servers {
-		if <-results {
+		if d.prober.connect(s.address) == probeAccepted {
 			return true
 		}
 	}
@@ -86,7 +80,7 @@
 	case probeAccepted:
 		return &cluster.ProbeReply{Result: cluster.ProbeResult_REACHED}
 	case probeRefused:
-		reached := n.crashes.connectsToAny(n.upstreams.othersOf(s, evidenceServers))
+		reached := !r.ServiceReached && n.crashes.connectsToAny(n.upstreams.othersOf(s, evidenceServers))
 		return &cluster.ProbeReply{Result: cluster.ProbeResult_REFUSED, ServiceReached: reached}
 	}
 	return &cluster.ProbeReply{}
