gateway: requests in progress over open connections are not given up while they work

Cause: sends that may be repeated are given up where no server is reached for a second. A later request that found no free connection set the time at which the server was last heard from to zero, although others had requests in progress over connections that worked. By the logs, each of these losses followed a "sends_abandoned" of requests 11 to 36 ms old.

Ruled out: the partition of the second node itself (its open connections answered within 135 ms); what the first node makes of the refusal (the run is unknown, so it is right to pass that on).

Now a request that found no connection is noted apart, and a service counts as lost only if all its requests in progress have waited for a second without hearing anything. Requests whose open connection falls silent after it was heard from are now given up too, after a second.

TestSendsOnOpenConnectionsAreNotAbandoned fails on the code before at its check of a request in progress, TestSendsAreNotAbandonedForSilenceBeforeThem at its last line (sends that were not given up); with the first half of the mend it fails at its first.

--- a/src/gateway/reach.go
+++ b/src/gateway/reach.go
@@ -35,6 +35,7 @@
 	unreachable      bool
 	unreachableSince time.Time
 	heardAt          time.Time     // when something came from it last, over any connection
+	noConnectionAt   time.Time     // when a request found no open connection to it last
 	probeAt          time.Time     // if unreachable, when it is probed next
 	probeInterval    time.Duration // between two probes
 	probeRunning     bool
@@ -108,16 +109,20 @@
 	p.mu.Unlock()
 }
 
-// recordNoConnection records that no open connection to an unreachable server is left.
+// recordNoConnection records that a request found no open connection to an unreachable server.
+// There may be others, with requests in progress.
 func (p *upstreamPool) recordNoConnection(s *upstream) {
 	p.mu.Lock()
-	s.heardAt = time.Time{}
+	s.noConnectionAt = p.now()
 	p.mu.Unlock()
 }
 
 // usable reports whether requests can get to the server: over new connections, or over open
-// ones that have worked since no new one could be made. The caller holds the pool's lock.
-func (s *upstream) usable() bool { return !s.unreachable || s.heardAt.After(s.unreachableSince) }
+// ones that have worked since no new one could be made and since none was free. The caller
+// holds the pool's lock.
+func (s *upstream) usable() bool {
+	return !s.unreachable || s.heardAt.After(s.unreachableSince) && s.heardAt.After(s.noConnectionAt)
+}
 
 // reach tells how many of a service's servers this node reaches.
 type reach struct {
--- a/src/gateway/silence.go
+++ b/src/gateway/silence.go
@@ -142,8 +142,8 @@
 	p.mu.Unlock()
 }
 
-// lostServices returns the services that have had no reachable server for abandonDelay and have
-// servers with sends to give up.
+// lostServices returns the services of which no server could be reached for abandonDelay, and
+// whose sends in progress have all got nothing over open connections for as long.
 func (p *upstreamPool) lostServices() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -151,7 +151,8 @@
 	var out []string
 	for service, servers := range p.byService {
 		lost := func(s *upstream) bool {
-			return s.draining || !s.usable() && now.Sub(s.unreachableSince) >= abandonDelay
+			silent := s.requests == 0 || s.silentFor(now) >= abandonDelay
+			return s.draining || silent && s.unreachable && now.Sub(s.unreachableSince) >= abandonDelay
 		}
 		pending := func(s *upstream) bool { return !s.draining && !s.abandoned && s.requests > 0 }
 		if !slices.ContainsFunc(servers, func(s *upstream) bool { return !lost(s) }) && slices.ContainsFunc(servers, pending) {
--- a/src/gateway/silence_test.go
+++ b/src/gateway/silence_test.go
@@ -64,6 +64,42 @@
 	is.Equal(len(pool.lostServices()), 0) // given up once
 }
 
+// Guards against requests that a server runs being given up because a later request found all
+// connections to it in use and could not open a new one.
+func TestSendsOnOpenConnectionsAreNotAbandoned(t *testing.T) {
+	is := is.New(t)
+	pool, pass := newReachPool(1)
+	s := pool.byService["s"][0]
+	pool.beginRequest(s, 0)
+	pool.markUnreachable(s)
+	pass(abandonDelay)
+	pool.heard(s)
+	pool.beginRequest(s, 0)
+	pool.recordNoConnection(s)
+	is.Equal(len(pool.candidates("s", nil)), 0)
+	is.Equal(len(pool.lostServices()), 0)
+	pass(abandonDelay / 2)
+	is.Equal(len(pool.lostServices()), 0)
+	pass(abandonDelay / 2)
+	is.Equal(pool.lostServices(), []string{"s"}) // the open ones have fallen silent too
+}
+
+// Guards against requests that have just been sent over an open connection being given up
+// because nothing had been sent over it for a while.
+func TestSendsAreNotAbandonedForSilenceBeforeThem(t *testing.T) {
+	is := is.New(t)
+	pool, pass := newReachPool(1)
+	s := pool.byService["s"][0]
+	pool.markUnreachable(s)
+	pass(time.Millisecond)
+	pool.heard(s)
+	pass(abandonDelay)
+	pool.beginRequest(s, 0)
+	is.Equal(len(pool.lostServices()), 0)
+	pass(abandonDelay)
+	is.Equal(pool.lostServices(), []string{"s"})
+}
+
 // Guards against requests that wait, one after the other, for open connections that have
 // stalled while new ones work.
 func TestStalledConnectionIsToldFromSlowResponse(t *testing.T) {
