gateway: nodes of other failure domains may be forwarded to where hubs relay the records

Callers of a failure domain that reaches no server were refused (servers_unreachable, at once) in systems of more than 16 nodes: 0 of 116 first tries at a node that is no hub, with 9 of 18 nodes cut off, while its hub and the other failure domain served all.

Cause: nodes known only from the store are candidates if this node has no record of them. It has records of all from its first second, when the system is still small enough to exchange without hubs; these are never renewed, so they were too old to be chosen, and kept the store's entries out.

Ruled out: the second node's refusal (there was no attempt to forward), the address check.

A record counts only while it is recent.

--- a/src/gateway/choose_peer.go
+++ b/src/gateway/choose_peer.go
@@ -110,18 +110,18 @@
 }
 
 // peersFor returns the nodes that a request for a service may be forwarded to. Where hubs
-// relay the records of others, those that this node knows only from the store are among them.
+// relay the records of others, those of which this node has no recent record are among them.
 func (n *Node) peersFor(service string, tried map[string]bool) []peer {
 	var out []peer
 	known := map[string]bool{n.initial.Node: true}
 	for _, m := range n.members.All() {
 		r := m.Record
-		if known[r.Node] {
+		if known[r.Node] || n.members.Age(m) > cluster.AliveTimeout {
 			continue
 		}
 		known[r.Node] = true
 		load, avoided := n.forwardPeers.load(r.Node)
-		if tried[r.Node] || avoided || r.Leaving || !r.Ready || n.members.Age(m) > cluster.AliveTimeout {
+		if tried[r.Node] || avoided || r.Leaving || !r.Ready {
 			continue
 		}
 		p := peer{node: r.Node, address: r.Peers, share: reportedReach(r, service).share(), requests: load}
