--- a/test/gateway_testbed_test.go
+++ b/test/gateway_testbed_test.go
@@ -32,6 +32,7 @@
 	retries string // settings of the retry budget
 	duties  string // value of CloudApi.Duties
 	linked  bool   // nodes that are started get links of their own to the servers
+	domains int    // failure domains that nodes are started in, in turn; 0 counts as 1
 }
 
 type gatewayNode struct {
@@ -42,6 +43,7 @@
 }
 
 const (
+	maxSeeds     = 3 // that the platform names
 	testAPIKey   = "key-of-one"
 	testCustomer = "one"
 	testHost     = "site.example"
@@ -106,15 +108,7 @@
 // startNamedNode starts a node and waits until it is ready. first sets FirstStart,
 // which means that no earlier process has used the retry budget.
 func (b *gatewayTestbed) startNamedNode(name string, first bool, storeAddress string, seeds ...string) *gatewayNode {
-	text := fmt.Sprintf("NodeName=%s\nZone=zone-1\nRegion=here\nFirstStart=%t\nSeedNodes=%s\n", name, first, strings.Join(seeds, ","))
-	for _, name := range []string{"Front", "Ready", "Control", "Directory"} {
-		text += "ListenAddresses." + name + "=" + freeAddr(b.t) + "\n"
-	}
-	text += "PlatformSettings.Address=" + storeAddress + "\nCloudApi.Address=" + b.cloud.Address() + "\nCloudApi.Duties=" + b.duties + "\n" +
-		"Bounds.GracePeriodS=2\nBounds.LeaseMs=1000\nBounds.UsageWindowS=1\nBounds.UsageLateS=10\nBounds.BudgetWindowS=10\n" + b.retries
-	path := filepath.Join(b.t.TempDir(), "settings.conf")
-	b.is.NoErr(os.WriteFile(path, []byte(text), 0o600))
-	set, err := platform.Load(path)
+	set, err := platform.Load(b.writeSettings(name, first, storeAddress, seeds))
 	b.is.NoErr(err)
 	n := &gatewayNode{settings: set, done: make(chan struct{})}
 	var nodePlatform gateway.Platform = platform.New(set)
@@ -132,15 +126,47 @@
 	}()
 	b.nodes = append(b.nodes, n)
 	b.t.Cleanup(func() { n.stop(); <-n.done })
+	b.waitReady(set.Listen.Ready)
+	return n
+}
+
+// startProcess starts a node as a process of its own, which reaches the servers directly, and
+// waits until it is ready. It returns the address at which other nodes reach it, too.
+func (b *gatewayTestbed) startProcess(name string, seeds ...string) (p *proc, peers string) {
+	path := b.writeSettings(name, true, b.store.Address(), seeds)
+	set, err := platform.Load(path)
+	b.is.NoErr(err)
+	p = &proc{t: b.t, name: name, path: path, log: path + ".log"}
+	p.launch("crank-gateway")
+	b.t.Cleanup(p.kill)
+	b.waitReady(set.Listen.Ready)
+	return p, set.Listen.Peers
+}
+
+// writeSettings writes the settings of a node and returns the path of the file.
+func (b *gatewayTestbed) writeSettings(name string, first bool, storeAddress string, seeds []string) string {
+	domain := len(b.nodes)%max(b.domains, 1) + 1
+	text := fmt.Sprintf("NodeName=%s\nZone=zone-%d\nRegion=here\nFirstStart=%t\nSeedNodes=%s\n", name, domain, first, strings.Join(seeds[:min(len(seeds), maxSeeds)], ","))
+	for _, name := range []string{"Front", "Ready", "Control", "Directory"} {
+		text += "ListenAddresses." + name + "=" + freeAddr(b.t) + "\n"
+	}
+	text += "PlatformSettings.Address=" + storeAddress + "\nCloudApi.Address=" + b.cloud.Address() + "\nCloudApi.Duties=" + b.duties + "\n" +
+		"Bounds.GracePeriodS=2\nBounds.LeaseMs=1000\nBounds.UsageWindowS=1\nBounds.UsageLateS=10\nBounds.BudgetWindowS=10\n" + b.retries
+	path := filepath.Join(b.t.TempDir(), "settings.conf")
+	b.is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// waitReady waits until the node with the given readiness address is ready.
+func (b *gatewayTestbed) waitReady(address string) {
 	b.eventually("node ready", func() bool {
-		resp, err := http.Get("http://" + set.Listen.Ready + "/-/readiness")
+		resp, err := http.Get("http://" + address + "/-/readiness")
 		if err != nil {
 			return false
 		}
 		defer func() { _ = resp.Body.Close() }()
 		return resp.StatusCode == http.StatusOK
 	})
-	return n
 }
 
 // startNodes starts nodes that know each other, and waits until they serve.
--- a/test/server_cut_test.go
+++ b/test/server_cut_test.go
@@ -46,10 +46,20 @@
 	group   sync.WaitGroup
 }
 
-// sendFirstTries starts clients that send a request of each route in turn to a node, until
-// end is called.
-func sendFirstTries(n *gatewayNode, name string, clients int) *firstTries {
-	f := &firstTries{others: map[string]int{}, stop: make(chan struct{})}
+func newFirstTries() *firstTries {
+	return &firstTries{others: map[string]int{}, stop: make(chan struct{})}
+}
+
+// share returns the part of the first tries that was served.
+func (f *firstTries) share() float64 { return float64(f.served) / float64(max(f.sent, 1)) }
+
+// sendFirstTries starts clients that send the given requests, or without any those of
+// cutRoutes, in turn to a node, until end is called.
+func sendFirstTries(n *gatewayNode, name string, clients int, requests ...gatewayRequest) *firstTries {
+	if len(requests) == 0 {
+		requests = cutRoutes
+	}
+	f := newFirstTries()
 	for client := range clients {
 		f.group.Go(func() {
 			for i := 0; ; i++ {
@@ -58,7 +68,7 @@
 					return
 				case <-time.After(cutInterval):
 				}
-				req := cutRoutes[i%len(cutRoutes)]
+				req := requests[i%len(requests)]
 				req.id = fmt.Sprintf("%s-%d-%d", name, client, i)
 				f.count(n.send(req))
 			}
@@ -91,6 +101,16 @@
 	f.group.Wait()
 }
 
+// refused returns how many first tries were refused as not run.
+func (f *firstTries) refused() (count int) {
+	for response, times := range f.others {
+		if strings.HasPrefix(response, "503 ") || strings.HasPrefix(response, "429 ") {
+			count += times
+		}
+	}
+	return count
+}
+
 func (f *firstTries) String() string {
 	return fmt.Sprintf("%d of %d first tries served, the slowest response after %s, %v", f.served, f.sent, f.slowest, f.others)
 }
@@ -293,6 +313,67 @@
 	}
 }
 
+// Guards against requests that are lost, or run twice, when the node in between is killed. Those
+// in progress there that must not be repeated are lost.
+func TestNodeInBetweenMayBeKilled(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	b, nodes, servers := newCutBed(t, 2, cutServers)
+	between, address := b.startProcess("between", nodeAddresses(nodes)...)
+	for _, s := range servers {
+		s.SetSlots(100, 300*time.Millisecond) // most requests are in progress
+	}
+	nodes[0].links.cut(cutReset)
+	time.Sleep(time.Second)
+	repeatable := sendFirstTries(nodes[0], "killed-repeatable", 4*cutClients, cutRoutes[1], cutRoutes[3])
+	once := sendFirstTries(nodes[0], "killed-once", 4*cutClients, cutRoutes[0], cutRoutes[2])
+	time.Sleep(time.Second)
+	b.eventually("the node in between has requests in progress", func() bool { return b.openRequests(address) >= cutClients })
+	between.kill()
+	time.Sleep(2 * time.Second)
+	repeatable.end()
+	once.end()
+	t.Logf("repeatable: %s; others: %s", repeatable, once)
+	is.True(mostRuns(servers) <= 1)
+	is.Equal(repeatable.served, repeatable.sent)
+	is.True(once.sent-once.served <= 4*cutClients)
+	is.Equal(once.refused(), 0)
+}
+
+// Guards against a node that reaches a single server of a service and sends it all requests, or
+// that treats a service which it does reach like one which it does not.
+func TestNodeThatReachesSomeServersDoesNotCrowdThem(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	b, nodes, servers := newCutBed(t, cutGroupSize, cutServers)
+	b.config["Routes"] = append(b.config["Routes"].([]any), b.routeConfig("other", "/other/", "safe", "other", 2, false))
+	b.config["Services"] = append(b.config["Services"].([]any), map[string]any{"Name": "other", "HealthCheckPath": "/health", "MaxConnections": 100})
+	b.writeConfig()
+	other := fake.NewServer("o-1")
+	t.Cleanup(other.Close)
+	b.store.Put("servers/o-1", other.Entry("other", "zone-1", "ready"))
+	request := gatewayRequest{method: http.MethodGet, path: "/other/x"}
+	b.eventually("the other service is served", func() bool {
+		request.id = "other-probe"
+		return nodes[0].send(request).status == http.StatusOK
+	})
+	reached := servers[0].ID
+	nodes[0].links.cutSome(cutReset, func(id string) bool { return id != reached && id != other.ID })
+	time.Sleep(contactTimeout)
+	before, dials := len(servers[0].Runs()), nodes[1].links.dialsTo(other.ID)
+	tries := sendFirstTries(nodes[0], "some", 4*cutClients)
+	others := sendFirstTries(nodes[0], "other", cutClients, request)
+	time.Sleep(cutMeasured)
+	tries.end()
+	others.end()
+	crowded := len(servers[0].Runs()) - before
+	t.Logf("%s, %d of them at the only server that the node reaches; the other service: %s", tries, crowded, others)
+	is.Equal(tries.served, tries.sent)
+	is.Equal(others.served, others.sent)
+	is.True(crowded < tries.sent/2) // an even share is a quarter
+	is.Equal(nodes[1].links.dialsTo(other.ID), dials)
+}
+
 // Guards against forwarded requests that are charged to their customer's limit at both nodes.
 func TestForwardedRequestIsChargedOnce(t *testing.T) {
 	t.Parallel() // mostly waits
@@ -316,6 +397,16 @@
 	is.Equal(admittedTotal(b, nodes), before+count)
 }
 
+// openRequests returns how many requests of clients and other nodes are in progress at a node.
+func (b *gatewayTestbed) openRequests(address string) int {
+	var state struct{ Open int }
+	resp, err := http.Get("http://" + address + "/debug/state")
+	b.is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	b.is.NoErr(json.NewDecoder(resp.Body).Decode(&state))
+	return state.Open
+}
+
 // admittedTotal returns what all nodes have charged to the customer, by their own records.
 func admittedTotal(b *gatewayTestbed, nodes []*gatewayNode) (total float64) {
 	for _, n := range nodes {
--- a/test/server_link_test.go
+++ b/test/server_link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -97,10 +98,20 @@
 }
 
 // dials returns how many connections the node has opened on all links.
-func (l *serverLinks) dials() (total int) {
+func (l *serverLinks) dials() int { return l.countDials(func(string) bool { return true }) }
+
+// dialsTo returns how many connections the node has opened to one server.
+func (l *serverLinks) dialsTo(id string) int {
+	return l.countDials(func(server string) bool { return server == id })
+}
+
+func (l *serverLinks) countDials(counts func(id string) bool) (total int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, link := range l.all {
+		if !counts(link.id) {
+			continue
+		}
 		link.mu.Lock()
 		total += link.accepted
 		link.mu.Unlock()
@@ -168,13 +179,16 @@
 		_, _ = io.Copy(c.server, c.node)
 		_ = c.server.CloseWrite()
 	}()
-	c.copyToNode()
+	if errors.Is(c.copyToNode(), syscall.ECONNRESET) {
+		_ = c.node.SetLinger(0) // pass the reset on
+	}
 	_ = c.node.Close()
 	_ = c.server.Close()
 }
 
-// copyToNode passes on what the server sends, and holds it while the link is cut.
-func (c *linkedConn) copyToNode() {
+// copyToNode passes on what the server sends, and holds it while the link is cut. It returns
+// the error that ended the connection to the server.
+func (c *linkedConn) copyToNode() error {
 	buffer := make([]byte, 16<<10)
 	for {
 		count, err := c.server.Read(buffer)
@@ -185,7 +199,7 @@
 			<-healed
 		}
 		if _, werr := c.node.Write(buffer[:count]); werr != nil || err != nil {
-			return
+			return err
 		}
 	}
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -74,6 +74,7 @@
 	mu       sync.Mutex // held while a fault acts on the process
 	proc     *proc
 	store    *link
+	servers  *serverLinks // its own links to the servers
 	settings string
 	front    string
 	ready    string
@@ -174,11 +175,17 @@
 		defer running.Done()
 		s.injectServerWishes(ctx, rand.New(rand.NewPCG(seed, ^seed)))
 	}()
+	running.Add(1)
+	go func() {
+		defer running.Done()
+		s.injectCuts(ctx, rand.New(rand.NewPCG(^seed, seed)))
+	}()
 	running.Wait()
 	s.endFaults()
 	s.checkChange()
 	s.checkRetryBudget()
 	s.checkRecovery()
+	s.checkCut(rand.New(rand.NewPCG(^seed, ^seed)))
 	checkTroubled(s)
 	s.checkResponses()
 	s.checkDuties()
@@ -234,7 +241,8 @@
 }
 
 func (s *soak) addNode(i int) {
-	p := &soakProc{store: newStallableLink(s.t, fmt.Sprint("store-", i), s.store.Address()), front: freeAddr(s.t), ready: freeAddr(s.t), control: freeAddr(s.t)}
+	servers := newServerLinks(s.t)
+	p := &soakProc{servers: servers, store: newStallableLink(s.t, fmt.Sprint("store-", i), s.viewWithLinks(servers)), front: freeAddr(s.t), ready: freeAddr(s.t), control: freeAddr(s.t)}
 	var seeds []string
 	for _, other := range s.procs {
 		seeds = append(seeds, other.control)
@@ -309,14 +317,19 @@
 	start := time.Now()
 	for ctx.Err() == nil {
 		f := faults[s.intN(len(faults))]
-		s.mu.Lock()
-		s.faultLog += fmt.Sprintf("%6d ms %s\n", time.Since(start).Milliseconds(), f.name)
-		s.mu.Unlock()
+		s.logFault(start, f.name)
 		f.do()
 		time.Sleep(s.durationBetween(50*time.Millisecond, 400*time.Millisecond))
 	}
 }
 
+// logFault adds a fault to the log of those injected since start.
+func (s *soak) logFault(start time.Time, name string) {
+	s.mu.Lock()
+	s.faultLog += fmt.Sprintf("%6d ms %s\n", time.Since(start).Milliseconds(), name)
+	s.mu.Unlock()
+}
+
 func (s *soak) randomNode() *soakProc { return s.procs[s.intN(len(s.procs))] }
 
 func (s *soak) killNode() {
--- a/test/testbed_test.go
+++ b/test/testbed_test.go
@@ -8,8 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,7 +15,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +22,7 @@
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/crankridge/crankridge/platform/fake"
 	"github.com/crankridge/crankridge/src/catalog"
 	"github.com/crankridge/crankridge/src/entry"
 	"github.com/crankridge/crankridge/src/operator"
@@ -193,30 +191,14 @@
 	}
 }
 
-// Ports are allocated below the ephemeral range, so that no outgoing connection
-// takes one before its process listens.
-const (
-	firstPort = 10000
-	lastPort  = 32000
-)
-
-var nextPort atomic.Int64
-
-// A random start keeps concurrent test runs from taking a port between the
-// check in freeAddr and its use.
-func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
-
+// freeAddr returns a loopback address on which a process can listen.
 func freeAddr(t *testing.T) string {
-	for range lastPort - firstPort {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
-		ln, err := net.Listen("tcp", addr)
-		if err == nil {
-			_ = ln.Close()
-			return addr
-		}
+	listener, err := fake.Listen()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
 }
 
 func domainName(i int) string { return "fd-" + string(rune('a'+i)) }
