gateway: a node that has served a forwarded request is preferred to unknown ones

Cause: of the nodes that are known only from the store, this node does not know which reach servers. It asks three at random, and half of them are cut off too.

A node that has served a request within 5 s is known to; others seem to have four more requests, so that they are asked once it has more than that.

Weighed: the reach of all nodes in the hubs' summaries (more bytes a second for what is needed in a partition only).

--- a/src/gateway/choose_peer.go
+++ b/src/gateway/choose_peer.go
@@ -21,6 +21,8 @@
 	maxIdlePerPeer     = 32                     // connections
 	peerIdleTimeout    = 10 * time.Second       // of a connection
 	otherDomainPenalty = 2                      // requests that a node of another failure domain seems to have more
+	unknownPenalty     = 4                      // the same, of a node of which there is no recent record
+	servedMemory       = 5 * time.Second        // for which a node that has served a forwarded request is known to reach servers
 )
 
 // forwardPeers holds what this node knows of the nodes that it forwards requests to.
@@ -30,11 +32,12 @@
 	mu           sync.Mutex
 	inProgress   map[string]int       // forwarded requests, by node
 	avoidedUntil map[string]time.Time // by node
+	servedAt     map[string]time.Time // by node: when it has served a forwarded request last
 }
 
 func newForwardPeers() *forwardPeers {
 	return &forwardPeers{
-		inProgress: map[string]int{}, avoidedUntil: map[string]time.Time{},
+		inProgress: map[string]int{}, avoidedUntil: map[string]time.Time{}, servedAt: map[string]time.Time{},
 		transport: &http.Transport{
 			DialContext: conn.Dialer(peerDialTimeout).DialContext, MaxIdleConnsPerHost: maxIdlePerPeer, IdleConnTimeout: peerIdleTimeout,
 			DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
@@ -62,6 +65,26 @@
 	p.mu.Unlock()
 }
 
+// served records that a node has served a forwarded request.
+func (p *forwardPeers) served(node string) {
+	p.mu.Lock()
+	p.servedAt[node] = clock.Now()
+	p.mu.Unlock()
+}
+
+// unknownLoad is load for a node of which there is no recent record. It seems to have more
+// requests, unless it has served a request lately.
+func (p *forwardPeers) unknownLoad(node string) (requests int, avoided bool) {
+	requests, avoided = p.load(node)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if clock.Since(p.servedAt[node]) > servedMemory {
+		delete(p.servedAt, node)
+		requests += unknownPenalty
+	}
+	return requests, avoided
+}
+
 // load returns the forwarded requests in progress at a node, and whether to avoid it.
 func (p *forwardPeers) load(node string) (requests int, avoided bool) {
 	p.mu.Lock()
@@ -137,7 +160,7 @@
 		return out
 	}
 	for _, e := range n.roster.Entries() {
-		if load, avoided := n.forwardPeers.load(e.Node); !known[e.Node] && !tried[e.Node] && !avoided {
+		if load, avoided := n.forwardPeers.unknownLoad(e.Node); !known[e.Node] && !tried[e.Node] && !avoided {
 			out = append(out, peer{node: e.Node, address: e.Peers, share: 1, requests: load})
 		}
 	}
--- a/src/gateway/choose_peer_test.go
+++ b/src/gateway/choose_peer_test.go
@@ -25,3 +25,19 @@
 	_, ok := bestPeer(nil)
 	is.New(t).True(!ok)
 }
+
+// Guards against requests being forwarded, one after the other, to nodes that turn out to reach no
+// server, while one that has just served a request is known.
+func TestNodeThatHasServedIsPreferredToUnknownOnes(t *testing.T) {
+	is := is.New(t)
+	peers := newForwardPeers()
+	peers.served("good")
+	good, _ := peers.unknownLoad("good")
+	unknown, _ := peers.unknownLoad("unknown")
+	is.True(good < unknown)
+	for range unknownPenalty + 1 {
+		peers.begin("good")
+	}
+	good, _ = peers.unknownLoad("good")
+	is.True(good > unknown) // it is not the only one to be asked
+}
--- a/src/gateway/forward_peer.go
+++ b/src/gateway/forward_peer.go
@@ -75,6 +75,7 @@
 		_ = resp.Body.Close()
 	}
 	if err == nil {
+		n.forwardPeers.served(to.node)
 		f.log("forwarded", to.node, nil)
 		n.metrics.Answered(f.req.route.Name, strconv.Itoa(f.response.status), clock.Since(f.req.arrived))
 		return true, nil
--- a/test/server_cut_test.go
+++ b/test/server_cut_test.go
@@ -23,6 +23,7 @@
 	cutAddedTime  = 300 * time.Millisecond // that a request may take longer at a node that is cut off
 	cutClients    = 2                      // for each node
 	cutGroupSize  = 4                      // nodes
+	cutHubNodes   = 18 // more than exchange records without hubs
 	cutServers    = 4
 	returnTimeout = 2 * time.Second // from the end of a cut until the node uses its own connections
 )
@@ -185,6 +186,37 @@
 	}
 }
 
+// Guards against callers of a whole failure domain that reaches no server being refused in a system
+// whose nodes exchange records through hubs: they know few nodes of other failure domains.
+func TestFailureDomainThatReachesNoServerIsServed(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	b := newGatewayTestbed(t)
+	b.linked, b.domains = true, 2
+	for i := range cutServers {
+		b.startServer(fmt.Sprint("i-", i))
+	}
+	nodes := b.startNodes(cutHubNodes)
+	var tries []*firstTries
+	for i, n := range nodes {
+		tries = append(tries, sendFirstTries(n, fmt.Sprint("d-", i), 1))
+	}
+	time.Sleep(contactTimeout) // hubs are chosen
+	for i := 0; i < len(nodes); i += b.domains {
+		nodes[i].links.cut(cutReset)
+	}
+	time.Sleep(contactTimeout)
+	for _, f := range tries {
+		f.restart()
+	}
+	time.Sleep(cutMeasured)
+	for i, f := range tries {
+		f.end()
+		t.Logf("node %d: %s", i, f)
+		is.Equal(f.served, f.sent)
+	}
+}
+
 // Guards against requests that are refused, or held for long, where no node reaches a server.
 func TestCallersAreRefusedAtOnceWhereNoNodeReachesServers(t *testing.T) {
 	t.Parallel() // mostly waits
