gateway: a request that may be repeated outlives the cut of the node that forwards it

Cause: the second node could not send them again, and its refusal was final for the first, which knew a third node.

Now a refusal says how often the request has run, and the first node goes on within the route's attempts and the retry budget. What has run is no longer given back to the customer's limit. A Retry-After of another node that cannot be read is logged, and read by the same function as the servers'.

--- a/src/gateway/accept_forwarded.go
+++ b/src/gateway/accept_forwarded.go
@@ -20,6 +20,7 @@
 	arrived := clock.Now()
 	if refused := n.acceptForwarded(w, r, arrived); refused != nil {
 		w.Header().Set(headerRefused, refused.code)
+		w.Header().Set(headerRuns, strconv.Itoa(refused.runs))
 		n.writeRefusal(w, r, refused, arrived)
 	}
 }
--- a/src/gateway/forward_peer.go
+++ b/src/gateway/forward_peer.go
@@ -11,13 +11,16 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/crankridge/crankridge/src/clock"
+	"github.com/crankridge/crankridge/src/retryafter"
 )
 
 // Headers between the node that forwards a request and the one that it is forwarded to.
 const (
 	headerConfigVersion = "Crankridge-Config-Version" // in force at the first node
-	headerRuns          = "Crankridge-Runs"           // of the request so far
+	headerRuns          = "Crankridge-Runs"           // of the request before it was forwarded; in refusals, at the second node
 	headerCounted       = "Crankridge-Counted"        // whether a node has counted it among those that it sends to servers
 	headerRefused       = "Crankridge-Refused"        // in responses: the code of the second node's own refusal
 )
@@ -65,12 +68,12 @@
 		refused = f.peerRefusal(to, resp)
 		err = errPeerRefused
 	case outcomeUnknown:
-		f.recordPeerRun()
+		f.recordPeerRuns(1)
 		if ctx.Err() == nil {
 			n.forwardPeers.avoid(to.node)
 		}
 	case outcomeAnswered:
-		f.recordPeerRun()
+		f.recordPeerRuns(1)
 		err = f.relayFromPeer(resp)
 		_ = resp.Body.Close()
 	}
@@ -84,11 +87,11 @@
 	return false, refused
 }
 
-// recordPeerRun records that another node has sent the request to a server, or may have.
-func (f *forwarder) recordPeerRun() {
-	f.reached++
-	f.runs++
-	f.counted = true
+// recordPeerRuns records that servers have run the request for another node, or may have.
+func (f *forwarder) recordPeerRuns(runs int) {
+	f.reached += runs
+	f.runs += runs
+	f.counted = f.counted || runs > 0
 }
 
 // sendToPeer forwards the request to another node and reads the response header. The caller
@@ -161,15 +164,29 @@
 	if f.runs > 0 || f.response.headerSent {
 		return nil
 	}
-	f.refundQuota()
-	return &refusal{status: resp.StatusCode, code: code, retryAfter: retryAfterSeconds(resp), logValues: []any{"by", to.node}}
+	f.recordPeerRuns(refusedRuns(to, resp))
+	if code == codeOutcomeUnknown && f.mayResend() {
+		f.node.forwardPeers.avoid(to.node)
+		return nil
+	}
+	if f.runs == 0 {
+		f.refundQuota()
+	}
+	wait, err := retryafter.Parse(resp.Header, clock.Now())
+	if err != nil {
+		klog.ErrorS(err, "forward_wait_unusable", "node", to.node, "values", resp.Header.Values("Retry-After"))
+	}
+	return &refusal{status: resp.StatusCode, code: code, retryAfter: wait, runs: f.runs, logValues: []any{"by", to.node}}
 }
 
-// retryAfterSeconds returns the Retry-After of a node's refusal, 0 if there is none.
-func retryAfterSeconds(resp *http.Response) time.Duration {
-	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	if err != nil {
-		return 0
+// refusedRuns returns how often servers have run, or may have run, a request that a node has
+// refused: once if the node does not say.
+func refusedRuns(to peer, resp *http.Response) int {
+	text := resp.Header.Get(headerRuns)
+	runs, err := strconv.Atoi(text)
+	if err != nil || runs < 0 {
+		klog.InfoS("forward_runs_unusable", "node", to.node, "value", text)
+		return 1
 	}
-	return time.Duration(seconds * float64(time.Second))
+	return runs
 }
--- a/test/server_cut_test.go
+++ b/test/server_cut_test.go
@@ -372,6 +372,29 @@
 	is.Equal(once.refused(), 0)
 }
 
+// Guards against requests that may be repeated and are lost when the node in between is cut off
+// while it waits for their responses: it cannot send them again, but a third node can.
+func TestRepeatableRequestOutlivesCutOfNodeInBetween(t *testing.T) {
+	t.Parallel() // mostly waits
+	is := is.New(t)
+	b := newGatewayTestbed(t)
+	b.linked = true
+	b.retries = "Bounds.RetryBudgetRatio=1\nBounds.ExtraRetries=500\n"
+	for i := range cutServers {
+		b.startServer(fmt.Sprint("i-", i)).SetSlots(100, 300*time.Millisecond) // most requests are in progress
+	}
+	nodes := b.startNodes(3)
+	nodes[0].links.cut(cutReset)
+	time.Sleep(time.Second)
+	tries := sendFirstTries(nodes[0], "outlives", 8*cutClients, cutRoutes[1], cutRoutes[3])
+	time.Sleep(time.Second)
+	nodes[1].links.cut(cutReset)
+	time.Sleep(2 * time.Second)
+	tries.end()
+	t.Log(tries)
+	is.Equal(tries.served, tries.sent)
+}
+
 // Guards against a node that reaches a single server of a service and sends it all requests, or
 // that treats a service which it does reach like one which it does not.
 func TestNodeThatReachesSomeServersDoesNotCrowdThem(t *testing.T) {
