--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 # make measure   runs the measurements for docs/design (about 15 minutes)
 # make capacity  runs the measurement for docs/CAPACITY.md (about 10 minutes)
 measure:
-	go test -tags measure ./test -run 'Measure(Added|Claim|Path|Routing|Overload|Wave)' -v -timeout 40m
+	go test -tags measure ./test -run 'Measure(Added|Claim|Path|Routing|Overload|Wave|Forwarding)' -v -timeout 40m
 
 capacity:
 	go test -tags measure ./test -run MeasureCapacity -v -timeout 30m
