gateway: runs at every node that refuses a forwarded request are counted

A request that may be repeated could run more often than its route allows: once it had run somewhere, what a further node said of its own runs was not read. Found by reading; no run showed it. TestRunsAtNodesThatRefuseAreCounted fails on the code before.

TestRefusalKeepsRetryAfterOfOtherNode goes with it (it passes before).

--- a/src/gateway/forward_peer.go
+++ b/src/gateway/forward_peer.go
@@ -152,8 +152,9 @@
 	})
 }
 
-// peerRefusal returns the refusal to relay, or nil if another node may serve the request. What
-// another node refuses holds for the whole request only if no server has run it before.
+// peerRefusal returns the refusal to relay, or nil if another node may serve the request or this
+// one has to end it. What another node refuses holds for the whole request only if no server has
+// run it before, or its time is over.
 func (f *forwarder) peerRefusal(to peer, resp *http.Response) *refusal {
 	code := resp.Header.Get(headerRefused)
 	switch code {
@@ -161,12 +162,11 @@
 		f.node.forwardPeers.avoid(to.node)
 		return nil
 	}
-	if f.runs > 0 || f.response.headerSent {
-		return nil
-	}
 	f.recordPeerRuns(refusedRuns(to, resp))
-	if code == codeOutcomeUnknown && f.mayResend() {
+	if code == codeOutcomeUnknown {
 		f.node.forwardPeers.avoid(to.node)
+	}
+	if f.response.headerSent || f.runs > 0 && code != codeTimeout {
 		return nil
 	}
 	if f.runs == 0 {
