gateway: a request lost for want of the retry budget says so in the log

A request that had run, and might have been repeated but for the retry budget, ended with 502 and no line that named the budget: one such loss in a test of forwarding was explained only by counting. The refusal's line has the budget's figures now, as those of the other refusals do.

--- a/src/gateway/finish.go
+++ b/src/gateway/finish.go
@@ -85,9 +85,9 @@
 	}
 	switch {
 	case ctx.Err() != nil:
-		return &refusal{status: http.StatusGatewayTimeout, code: codeTimeout, runs: f.runs}
+		return &refusal{status: http.StatusGatewayTimeout, code: codeTimeout, runs: f.runs, logValues: f.budgetLogValues}
 	case f.runs > 0:
-		return &refusal{status: outcomeUnknownStatus, code: codeOutcomeUnknown, runs: f.runs}
+		return &refusal{status: outcomeUnknownStatus, code: codeOutcomeUnknown, runs: f.runs, logValues: f.budgetLogValues}
 	}
 	return &refusal{status: http.StatusServiceUnavailable, code: code, retryAfter: retryAfter, logValues: f.budgetLogValues}
 }
