test: the cut of a node in between may cost a request two attempts

Traced: the request was lost with its connection, sent again by the node in between on another open connection that was reset as it was written to, and had then used both attempts of its route, as a request that was written may have run.

--- a/test/server_cut_test.go
+++ b/test/server_cut_test.go
@@ -25,6 +25,7 @@
 	cutGroupSize  = 4                      // nodes
 	cutHubNodes   = 18                     // more than exchange records without hubs
 	cutServers    = 4
+	maxSends      = 4               // servers that the gateway sends one request to at most
 	returnTimeout = 2 * time.Second // from the end of a cut until the node uses its own connections
 )
 
@@ -380,6 +381,11 @@
 	b := newGatewayTestbed(t)
 	b.linked = true
 	b.retries = "Bounds.RetryBudgetRatio=1\nBounds.ExtraRetries=500\n"
+	for _, route := range b.config["Routes"].([]any) {
+		// The node in between may also lose an attempt on a second connection that the cut resets.
+		route.(map[string]any)["MaxAttempts"] = maxSends
+	}
+	b.writeConfig()
 	for i := range cutServers {
 		b.startServer(fmt.Sprint("i-", i)).SetSlots(100, 300*time.Millisecond) // most requests are in progress
 	}
