--- a/src/gateway/client_request.go
+++ b/src/gateway/client_request.go
@@ -42,7 +42,7 @@
 	code       string
 	retryAfter time.Duration // value of Retry-After; 0 omits the header
 	closeConn  bool          // close the client connection after the response
-	runs       int           // of the request at this node so far; such a request may have run
+	runs       int           // of the request so far; if there are any, it may have run
 	logValues  []any         // key-value pairs that explain the decision in the log
 }
 
