--- a/test/server_brittle_test.go
+++ b/test/server_brittle_test.go
@@ -75,7 +75,6 @@
 // as they had places and waiting room for, fell over when they let fewer wait, and again each
 // time they came back.
 func TestBrittleServersDoNotFallOver(t *testing.T) {
-	t.Parallel() // mostly waits
 	for _, c := range []struct {
 		rejections, clients int
 		crash               bool // one server crashes and comes back
--- a/test/server_cut_test.go
+++ b/test/server_cut_test.go
@@ -220,7 +220,6 @@
 
 // Guards against requests that are refused, or held for long, where no node reaches a server.
 func TestCallersAreRefusedAtOnceWhereNoNodeReachesServers(t *testing.T) {
-	t.Parallel() // mostly waits
 	is := is.New(t)
 	_, nodes, _ := newCutBed(t, 3, 2)
 	for _, n := range nodes {
--- a/test/server_rest_test.go
+++ b/test/server_rest_test.go
@@ -104,7 +104,6 @@
 // Guards against callers that come back before any server takes requests again, and against
 // requests that wait for a resting server.
 func TestCallersAreToldWhenAllServersRest(t *testing.T) {
-	t.Parallel() // mostly waits
 	is := is.New(t)
 	b := newGatewayTestbed(t)
 	const rest = 3 * time.Second
