test: processes of nodes end with the test process that started them

What was seen: a test process of a trial ended by a panic, and its four crank-gateway processes went on for 25 minutes. They sent requests without an ID to nodes and servers of later test processes which had the same ports (51 to 105 'no_route' in 4 of 18 logs), and three tests and one soak run failed there: 'ran for "" with key ""', more than two requests in a rest, refused requests.

Fix: the kernel kills them when the test process ends (Pdeathsig).

--- a/test/testbed_test.go
+++ b/test/testbed_test.go
@@ -89,6 +89,8 @@
 	}
 	p.cmd = exec.Command(filepath.Join(binaries, binary), "-s", p.path, "-v", "1")
 	p.cmd.Stderr, p.cmd.Stdout = log, log
+	// It must not outlive a test process that is killed, and meet the nodes of later ones.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
