platform/fake: a server that is back waits for its address, as links do

What was seen: 'panic: fake server: listen tcp ...: bind: address already in use' ended a test process of a trial, with all its tests.

Change: one function listens again, for links and for servers after a crash: it tries for 2 s. The filters that cut links report now if the system refuses them, where the tests had gone on without a cut.

--- a/test/server_link_test.go
+++ b/test/server_link_test.go
@@ -1,7 +1,6 @@
 package test
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/crankridge/crankridge/platform/fake"
 	"github.com/crankridge/crankridge/src/gateway"
 	"github.com/crankridge/crankridge/src/traffic"
 )
@@ -66,7 +66,7 @@
 		l.t.Cleanup(link.close)
 		l.all[server] = link
 		if l.mode != "" && l.cuts(id) {
-			link.cut(l.mode)
+			link.cut(l.t, l.mode)
 		}
 	}
 	return link.address
@@ -82,7 +82,7 @@
 	l.mode, l.cuts = mode, cuts
 	for _, link := range l.all {
 		if cuts(link.id) {
-			link.cut(mode)
+			link.cut(l.t, mode)
 		}
 	}
 }
@@ -139,12 +139,7 @@
 func (l *serverLink) listen(t *testing.T) {
 	var config net.ListenConfig
 	config.SetMultipathTCP(false) // dropSegments has no effect on such a socket
-	deadline := time.Now().Add(relistenTimeout)
-	listener, err := config.Listen(context.Background(), "tcp", l.address)
-	for errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(deadline) {
-		time.Sleep(relistenInterval)
-		listener, err = config.Listen(context.Background(), "tcp", l.address)
-	}
+	listener, err := fake.ListenAgain(config, l.address)
 	if err != nil {
 		t.Error(err)
 		return
@@ -153,13 +148,6 @@
 	go l.accept(l.listener)
 }
 
-// Timing of a link that listens again after a cut; a process that starts at that moment may
-// still hold a copy of the closed socket.
-const (
-	relistenTimeout  = 2 * time.Second
-	relistenInterval = 5 * time.Millisecond
-)
-
 func (l *serverLink) accept(listener *net.TCPListener) {
 	for {
 		node, err := listener.AcceptTCP()
@@ -216,11 +204,11 @@
 	}
 }
 
-func (l *serverLink) cut(mode cutMode) {
+func (l *serverLink) cut(t *testing.T, mode cutMode) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if mode == cutSilent && l.listener != nil {
-		dropSegments(l.listener, true)
+		dropSegments(t, l.listener, true)
 	}
 	if (mode == cutReset || mode == cutNewOnly) && l.listener != nil {
 		_ = l.listener.Close()
@@ -232,7 +220,7 @@
 			c.mu.Lock()
 			c.healed = make(chan struct{})
 			c.mu.Unlock()
-			dropSegments(c.node, true)
+			dropSegments(t, c.node, true)
 		case cutReset:
 			_ = c.node.SetLinger(0)
 			_ = c.node.Close()
@@ -246,12 +234,12 @@
 	if l.listener == nil {
 		l.listen(t)
 	} else {
-		dropSegments(l.listener, false)
+		dropSegments(t, l.listener, false)
 	}
 	for _, c := range l.conns {
 		c.mu.Lock()
 		if c.healed != nil {
-			dropSegments(c.node, false)
+			dropSegments(t, c.node, false)
 			close(c.healed)
 			c.healed = nil
 		}
@@ -279,19 +267,24 @@
 
 // dropSegments makes the kernel drop what arrives at a socket, as behind a partition: its peer
 // gets no acknowledgement, and no connection if the socket listens.
-func dropSegments(socket syscall.Conn, drop bool) {
+func dropSegments(t *testing.T, socket syscall.Conn, drop bool) {
 	raw, err := socket.SyscallConn()
 	if err != nil {
 		return // closed
 	}
-	_ = raw.Control(func(fd uintptr) {
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
 		if !drop {
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
 			return
 		}
 		program := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
-		_ = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
+		optionErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
 	})
+	detached := !drop && errors.Is(optionErr, syscall.ENOENT) // it had none
+	if err = errors.Join(err, optionErr); err != nil && !detached && !errors.Is(err, net.ErrClosed) {
+		t.Errorf("segments of a link can't be dropped, drop=%t: %v", drop, err)
+	}
 }
 
 // Guards the tests that cut links: a cut must do to connections what its mode says.
