--- a/test/testbed_test.go
+++ b/test/testbed_test.go
@@ -21,6 +21,7 @@
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
+	"k8s.io/klog/v2"
 
 	"github.com/crankridge/crankridge/platform/fake"
 	"github.com/crankridge/crankridge/src/catalog"
@@ -55,11 +56,29 @@
 		os.Exit(1)
 	}
 	binaries = dir
+	go watchStalls()
 	code := m.Run()
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
 
+// Detection of times in which the tests got no processor.
+const (
+	stallTick = 10 * time.Millisecond
+	longStall = 100 * time.Millisecond
+)
+
+// watchStalls logs when this process went on late: what its tests measure includes that time.
+func watchStalls() {
+	for {
+		began := time.Now()
+		time.Sleep(stallTick)
+		if late := time.Since(began) - stallTick; late > longStall {
+			klog.InfoS("test_process_stalled", "late_ms", late.Milliseconds())
+		}
+	}
+}
+
 // proc is a child process; its output goes to a log file and it can be launched again.
 type proc struct {
 	t    *testing.T
