--- a/test/server_brittle_test.go
+++ b/test/server_brittle_test.go
@@ -75,6 +75,7 @@
 // as they had places and waiting room for, fell over when they let fewer wait, and again each
 // time they came back.
 func TestBrittleServersDoNotFallOver(t *testing.T) {
+	// It measures short times, so it does not run in parallel with other tests.
 	for _, c := range []struct {
 		rejections, clients int
 		crash               bool // one server crashes and comes back
--- a/test/server_cut_test.go
+++ b/test/server_cut_test.go
@@ -220,6 +220,7 @@
 
 // Guards against requests that are refused, or held for long, where no node reaches a server.
 func TestCallersAreRefusedAtOnceWhereNoNodeReachesServers(t *testing.T) {
+	// It measures short times, so it does not run in parallel with other tests.
 	is := is.New(t)
 	_, nodes, _ := newCutBed(t, 3, 2)
 	for _, n := range nodes {
--- a/test/server_link_test.go
+++ b/test/server_link_test.go
@@ -281,8 +281,8 @@
 		program := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
 		optionErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
 	})
-	detached := !drop && errors.Is(optionErr, syscall.ENOENT) // it had none
-	if err = errors.Join(err, optionErr); err != nil && !detached && !errors.Is(err, net.ErrClosed) {
+	hadNoFilter := !drop && errors.Is(optionErr, syscall.ENOENT)
+	if err = errors.Join(err, optionErr); err != nil && !hadNoFilter && !errors.Is(err, net.ErrClosed) {
 		t.Errorf("segments of a link can't be dropped, drop=%t: %v", drop, err)
 	}
 }
--- a/test/server_rest_test.go
+++ b/test/server_rest_test.go
@@ -104,6 +104,7 @@
 // Guards against callers that come back before any server takes requests again, and against
 // requests that wait for a resting server.
 func TestCallersAreToldWhenAllServersRest(t *testing.T) {
+	// It measures short times, so it does not run in parallel with other tests.
 	is := is.New(t)
 	b := newGatewayTestbed(t)
 	const rest = 3 * time.Second
