--- a/review/standin/frozen.go
+++ b/review/standin/crash.go
@@ -26,8 +26,8 @@
 	garblingServers = 2  // of them, those that send some answers without a length or chunks
 	unframedEvery   = 20 // one answer in so many, 0.05 of them
 	gatewayCount    = 3
-	sendInterval    = 50 * time.Millisecond // between two requests
-	sendPeriod      = 12 * time.Second
+	sendInterval    = 20 * time.Millisecond // between two requests
+	sendPeriod      = 26 * time.Second
 	host            = "site.example"
 	apiKey          = "key-of-one"
 	deadline        = 15 * time.Second
@@ -36,13 +36,14 @@
 	serviceName     = "msaidizi"
 )
 
-// The disruption: a gateway freezes, and meanwhile a server crashes and starts again.
+// The disruption: servers crash and start again.
 const (
-	troubleFrom   = 3 * time.Second // from the first request
-	streamHeadway = 700 * time.Millisecond
-	crashAfter    = 300 * time.Millisecond // from the freeze
-	downtime      = time.Second            // of the server
-	freezePeriod  = 3 * time.Second
+	crashes         = 5
+	troubleFrom     = 4 * time.Second // from the first request
+	streamHeadway   = 700 * time.Millisecond
+	downtime        = time.Second // of a server
+	crashPause      = 2 * time.Second
+	unframedTimeout = 10 * time.Second
 )
 
 // result is what a client has got.
@@ -54,8 +55,8 @@
 	err      error
 }
 
-// frozenCase is one run of the case.
-type frozenCase struct {
+// crashCase is one run of the case.
+type crashCase struct {
 	record   *record
 	log      io.Writer
 	folder   string // temporary
@@ -66,8 +67,7 @@
 	mu        sync.Mutex
 	servers   []*serverProcess
 	processes []*process
-	sentTo    map[string]*gatewayNode // by request
-	unframed  chan serverLine         // unframed answers that have begun
+	unframed  chan serverLine // unframed answers that have begun
 }
 
 // serverProcess is a server over all its starts.
@@ -77,8 +77,8 @@
 	every       int
 }
 
-// runFrozen plays the case and returns the exit code.
-func runFrozen(folder string) int {
+// runCrash plays the case and returns the exit code.
+func runCrash(folder string) int {
 	rec, err := newRecord(folder)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -91,7 +91,7 @@
 		return exitNotRun
 	}
 	defer func() { _ = os.RemoveAll(temporary) }()
-	c := &frozenCase{record: rec, log: io.Discard, folder: temporary, store: fake.NewStore(), cloud: fake.NewCloud(), sentTo: map[string]*gatewayNode{}, unframed: make(chan serverLine, 256)}
+	c := &crashCase{record: rec, log: io.Discard, folder: temporary, store: fake.NewStore(), cloud: fake.NewCloud(), unframed: make(chan serverLine, 256)}
 	defer c.end()
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
@@ -112,7 +112,7 @@
 }
 
 // end ends all processes that the case has started.
-func (c *frozenCase) end() {
+func (c *crashCase) end() {
 	c.mu.Lock()
 	processes := slices.Clone(c.processes)
 	c.mu.Unlock()
@@ -123,7 +123,7 @@
 	c.cloud.Close()
 }
 
-func (c *frozenCase) play(ctx context.Context, trouble bool) (broken int, err error) {
+func (c *crashCase) play(ctx context.Context, trouble bool) (broken int, err error) {
 	if err := c.startAll(); err != nil {
 		return 0, err
 	}
@@ -139,7 +139,7 @@
 }
 
 // startAll writes the configuration and starts the servers and the gateways.
-func (c *frozenCase) startAll() error {
+func (c *crashCase) startAll() error {
 	c.store.Put("op/config", map[string]any{
 		"Version": 7,
 		"Routes": []any{map[string]any{
@@ -180,7 +180,7 @@
 	return nil
 }
 
-func (c *frozenCase) add(p *process) {
+func (c *crashCase) add(p *process) {
 	c.mu.Lock()
 	c.processes = append(c.processes, p)
 	c.mu.Unlock()
@@ -188,7 +188,7 @@
 
 // startServer starts a server, or starts it again under its ID, and writes its entry once it
 // accepts connections.
-func (c *frozenCase) startServer(s *serverProcess) error {
+func (c *crashCase) startServer(s *serverProcess) error {
 	born := time.Now().UnixMilli()
 	p, err := start(c.log, c.serverLine, os.Args[0], "serve", s.id, s.address, strconv.FormatInt(born, 10), strconv.Itoa(s.every))
 	if err != nil {
@@ -208,7 +208,7 @@
 }
 
 // serverLine takes a line that a server has written.
-func (c *frozenCase) serverLine(raw []byte) {
+func (c *crashCase) serverLine(raw []byte) {
 	var line serverLine
 	if json.Unmarshal(raw, &line) != nil {
 		return
@@ -219,49 +219,39 @@
 	}
 }
 
-// disrupt freezes a gateway that relays an unframed answer, and crashes and restarts the server
-// that sends it.
-func (c *frozenCase) disrupt(ctx context.Context) error {
+// disrupt crashes servers that send an unframed answer, one after the other, and starts each
+// again.
+func (c *crashCase) disrupt(ctx context.Context) error {
 	time.Sleep(troubleFrom)
-	for len(c.unframed) > 0 {
-		<-c.unframed // it may be over
-	}
-	var line serverLine
-	select {
-	case line = <-c.unframed:
-	case <-time.After(sendPeriod - troubleFrom):
-		return errors.New("no server has sent an unframed answer")
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	c.mu.Lock()
-	frozen := c.sentTo[line.Request]
-	c.mu.Unlock()
-	index := slices.IndexFunc(c.servers, func(s *serverProcess) bool { return s.id == line.Server })
-	if frozen == nil || index < 0 {
-		return fmt.Errorf("request %s is unknown", line.Request)
-	}
-	crashed := c.servers[index]
-	time.Sleep(streamHeadway)
-	c.record.add("%s freezes (SIGSTOP)", frozen.name)
-	if err := frozen.signal(syscall.SIGSTOP); err != nil {
-		return err
-	}
-	time.Sleep(crashAfter)
-	c.record.add("%s crashes (SIGKILL)", crashed.id)
-	crashed.end()
-	time.Sleep(downtime)
-	if err := c.startServer(crashed); err != nil {
-		return err
+	for range crashes {
+		for len(c.unframed) > 0 {
+			<-c.unframed // it may be over
+		}
+		var line serverLine
+		select {
+		case line = <-c.unframed:
+		case <-time.After(unframedTimeout):
+			return errors.New("no server has sent an unframed answer")
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		index := slices.IndexFunc(c.servers, func(s *serverProcess) bool { return s.id == line.Server })
+		crashed := c.servers[index]
+		time.Sleep(streamHeadway)
+		c.record.add("%s crashes (SIGKILL)", crashed.id)
+		crashed.end()
+		time.Sleep(downtime)
+		if err := c.startServer(crashed); err != nil {
+			return err
+		}
+		time.Sleep(crashPause)
 	}
-	time.Sleep(freezePeriod - crashAfter - downtime)
-	c.record.add("%s wakes (SIGCONT)", frozen.name)
-	return frozen.signal(syscall.SIGCONT)
+	return nil
 }
 
 // runClients sends requests to the gateways in turn, and returns how many streams ended as
 // complete too early.
-func (c *frozenCase) runClients(ctx context.Context) (broken int) {
+func (c *crashCase) runClients(ctx context.Context) (broken int) {
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	ticker := time.NewTicker(sendInterval)
@@ -272,9 +262,6 @@
 			break
 		}
 		id, to := fmt.Sprintf("r%05d", i), c.gateways[i%len(c.gateways)]
-		c.mu.Lock()
-		c.sentTo[id] = to
-		c.mu.Unlock()
 		group.Go(func() {
 			c.record.add("%s is sent to %s", id, to.name)
 			r := request(ctx, to.front, id)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,7 @@
 
 const usage = `usage:
   standin serve ID ADDRESS BORN_MS UNFRAMED_EVERY   a server
-  standin frozen FOLDER                             the case of the frozen gateway`
+  standin crash FOLDER                              the case of the servers that crash`
 
 func main() {
 	switch {
@@ -25,8 +25,8 @@
 		if err := serve(os.Args[2], os.Args[3], os.Args[4], os.Args[5]); err != nil {
 			fail(err)
 		}
-	case len(os.Args) == 3 && os.Args[1] == "frozen":
-		os.Exit(runFrozen(os.Args[2]))
+	case len(os.Args) == 3 && os.Args[1] == "crash":
+		os.Exit(runCrash(os.Args[2]))
 	default:
 		fmt.Fprintln(os.Stderr, usage)
 		os.Exit(exitNotRun)
