--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -36,7 +36,7 @@
 	View    *view.View
 	Own     func() *Record  // returns this node's current record
 	Seeds   func() []string // peer addresses to contact besides the known nodes
-	Entries func() []Entry  // nodes with an entry in the store, including this one
+	Entries func() []Entry  // nodes to exchange with, including this one
 	// NeedsAllRecords reports whether this node needs the records of all other
 	// nodes even if none requests a summary from it. nil means never.
 	NeedsAllRecords func() bool
@@ -226,14 +226,41 @@
 	midpoint := sent.Add(clock.Since(sent) / 2)
 	n.mergeMessage(reply, midpoint)
 	n.mergeStreams(reply, false)
+	confirmed := confirmedAt(reply, sent)
 	if reply.Summary != nil {
-		n.Members.SetSummary(reply.Own, reply.Summary, midpoint)
+		n.acceptSummary(to.node, reply, midpoint, confirmed)
 	}
+	n.View.Confirm(reply.Complete, confirmed)
 	if s := reply.GetSummary(); len(s.GetSuspects())+len(s.GetInterruptions()) > 0 {
 		n.onSuspects()
 	}
 }
 
+// confirmedAt returns when the store had no change after m.Complete, zero if the sender has
+// never known. The age in a reply counts from when its request was sent. A request has no such
+// bound: its receiver may have been suspended before it read it.
+func confirmedAt(m *Message, sent time.Time) time.Time {
+	if m.ConfirmedAgeMs == nil {
+		return time.Time{}
+	}
+	return sent.Add(-time.Duration(*m.ConfirmedAgeMs) * time.Millisecond)
+}
+
+// acceptSummary stores the summary of a hub. confirmed is when the store last confirmed the hub's
+// copy of it. A hub that has lost the store and the other hubs while this node has later news is
+// avoided; its summary replaces none of a hub that is better connected.
+func (n *Node) acceptSummary(hub string, reply *Message, received, confirmed time.Time) {
+	age, known := n.View.ConfirmedAge()
+	outdated := clock.Since(confirmed) > HubConfirmationMaxAge
+	if outdated && known && age < clock.Since(confirmed)-confirmationMargin {
+		n.setAvoided(hub)
+		if n.Members.HubConfirmedAt().After(confirmed) {
+			return
+		}
+	}
+	n.Members.SetSummary(reply.Own, reply.Summary, received, confirmed)
+}
+
 func (n *Node) onSuspects() {
 	if n.OnSuspects != nil {
 		n.OnSuspects()
@@ -316,7 +343,7 @@
 	complete, _ := n.View.Complete()
 	out := &Message{Own: own, Complete: complete, WallUs: time.Now().UnixMicro()}
 	if age, ok := n.View.ConfirmedAge(); ok {
-		out.ConfirmedAgeMs = proto.Int64(age.Milliseconds())
+		out.ConfirmedAgeMs = proto.Int64(ceilMilliseconds(age))
 	}
 	return out
 }
@@ -377,11 +404,11 @@
 		}
 		n.View.ApplyPeer(delta)
 	}
-	if m.ConfirmedAgeMs != nil {
-		n.View.ConfirmByPeer(m.Complete, time.Duration(*m.ConfirmedAgeMs)*time.Millisecond)
-	}
 }
 
+// ceilMilliseconds returns a duration in milliseconds, rounded up.
+func ceilMilliseconds(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
 // recordAge returns the age of a record in m.Others at the time of sending.
 func recordAge(m *Message, index int) time.Duration {
 	if index >= len(m.AgesMs) {
--- a/src/cluster/hub.go
+++ b/src/cluster/hub.go
@@ -20,7 +20,12 @@
 	nodeInterval     = 500 * time.Millisecond // between the exchange rounds of a node that is not a hub
 	minRoundInterval = 60 * time.Millisecond  // from the start of a round until a triggered one may start
 	hubTTL           = 3 * time.Second        // a node acts as a hub for this long after a summary was requested
-	avoidPeriod      = 3 * time.Second        // a node is not selected as a hub for this long after a failed call
+	avoidPeriod      = 3 * time.Second        // a node is not selected as a hub for this long after a failed call, or with outdated news
+
+	// HubConfirmationMaxAge is how long ago the store may have confirmed a hub's copy of it,
+	// directly or through other hubs, for the hub to serve nodes in place of the store.
+	HubConfirmationMaxAge = 1500 * time.Millisecond
+	confirmationMargin    = 500 * time.Millisecond // by which a node's own confirmation must be later to avoid the hub
 )
 
 // Entry is a node as registered in the store.
--- a/src/cluster/hub_test.go
+++ b/src/cluster/hub_test.go
@@ -214,3 +214,67 @@
 	is.Equal(last.ClearedThroughMs, int64(10))
 	is.Equal(len(last.Crashes), 0)
 }
+
+// Guards against nodes that rely on a hub which has lost the store and the other hubs, while they
+// know better, and against nodes that change hubs where none knows better.
+func TestHubWithOutdatedNewsIsAvoidedByNodesThatKnowBetter(t *testing.T) {
+	const outdated = 2 * HubConfirmationMaxAge
+	for name, c := range map[string]struct {
+		ownAge time.Duration
+		avoids bool
+	}{"node reaches the store": {0, true}, "store is silent for all": {outdated, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cluster := newTestCluster(t, 24)
+			hub, _ := selectHub(cluster.entries, "d0", func(string) bool { return false })
+			now := time.Now()
+			var node *Node
+			for i, n := range cluster.nodes {
+				n.View.ApplyPeer(view.Delta{CompleteRevision: 5})
+				if cluster.records[i].Node == hub.Node {
+					n.View.Confirm(5, now.Add(-outdated))
+				} else {
+					n.View.Confirm(5, now.Add(-c.ownAge))
+				}
+				if cluster.records[i].FailureDomain == "d0" && cluster.records[i].Node != hub.Node {
+					node = n
+				}
+			}
+			exchange := func() string {
+				node.exchangeWith(context.Background(), node.hubTargets()[0])
+				_, name, _, ok := node.Members.Summary()
+				is.True(ok)
+				return name
+			}
+			is.True(strings.HasPrefix(exchange(), hub.Node+"/")) // there is no better one yet
+			is.True(time.Since(node.Members.HubConfirmedAt()) >= outdated)
+			second := exchange()
+			is.Equal(strings.HasPrefix(second, hub.Node+"/"), !c.avoids)
+			if !c.avoids {
+				return
+			}
+			is.True(time.Since(node.Members.HubConfirmedAt()) < HubConfirmationMaxAge)
+			node.avoidedUntil = map[string]time.Time{} // the hub is tried again
+			is.Equal(exchange(), second)               // and does not replace the summary of the better one
+		})
+	}
+}
+
+// Guards against news that count as young as the message that brought them: a request may have
+// waited for a node that was suspended.
+func TestRequestConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	c := newTestCluster(t, 2)
+	for _, n := range c.nodes {
+		n.View.ApplyPeer(view.Delta{CompleteRevision: 5})
+	}
+	c.nodes[0].View.Confirm(5, time.Now())
+	c.nodes[0].ExchangeWith(context.Background(), c.records[1].Peers)
+	_, ok := c.nodes[1].View.ConfirmedAge()
+	is.True(!ok)
+	sent := time.Now()
+	c.nodes[1].ExchangeWith(context.Background(), c.records[0].Peers)
+	age, ok := c.nodes[1].View.ConfirmedAge()
+	is.True(ok)
+	is.True(age >= time.Since(sent)) // counted from when the request was sent
+}
--- a/src/cluster/roster.go
+++ b/src/cluster/roster.go
@@ -76,6 +76,26 @@
 	return out
 }
 
+// Present returns the entries of the nodes that are stored now. If most entries have left the
+// store at once, as when it has lost all leases, it returns those of all nodes with a known
+// address.
+func (r *Roster) Present() []Entry {
+	var all, stored []Entry
+	for _, n := range r.current() {
+		if n.entry.Peers == "" {
+			continue
+		}
+		all = append(all, n.entry)
+		if n.stored {
+			stored = append(stored, n.entry)
+		}
+	}
+	if 2*len(stored) < len(all) {
+		return all
+	}
+	return stored
+}
+
 // Others returns the names of the other nodes, sorted.
 func (r *Roster) Others() []string {
 	var out []string
@@ -91,18 +111,18 @@
 func (r *Roster) Count() int { return len(r.Others()) + 1 }
 
 // current removes expired nodes and returns the remaining ones sorted by name.
-func (r *Roster) current() []*rosterNode {
+func (r *Roster) current() []rosterNode {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	out := make([]*rosterNode, 0, len(r.nodes))
+	out := make([]rosterNode, 0, len(r.nodes))
 	for _, name := range slices.Sorted(maps.Keys(r.nodes)) {
 		n := r.nodes[name]
 		if !n.stored && now.Sub(n.lastSeen) > removalDelay {
 			delete(r.nodes, name)
 			continue
 		}
-		out = append(out, n)
+		out = append(out, *n)
 	}
 	return out
 }
--- a/src/cluster/roster_test.go
+++ b/src/cluster/roster_test.go
@@ -36,3 +36,20 @@
 	now = now.Add(removalDelay + time.Millisecond)
 	is.Equal(r.Count(), 1)
 }
+
+// Guards against nodes that exchange through hubs because of nodes that have been replaced, and
+// against a large system that does without hubs when the store has lost all leases at once.
+func TestPresentNodesAreThoseStored(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := NewRoster("self", func() time.Time { return now })
+	entries := []Entry{{Node: "a", Peers: "a"}, {Node: "b", Peers: "b"}, {Node: "self", Peers: "s"}}
+	r.SetStored(entries)
+	r.SetStored(entries[1:])
+	is.Equal(r.Present(), entries[1:])
+	is.Equal(r.Entries(), entries)
+	r.SetStored(nil)
+	is.Equal(r.Present(), entries)
+	now = now.Add(removalDelay + time.Millisecond)
+	is.Equal(len(r.Present()), 0)
+}
--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -56,6 +56,8 @@
 	hub     string // its name and incarnation
 	at      time.Time
 	agreed  time.Duration // the hub's agreed time minus this node's steady time
+	// confirmedAt is when the store last confirmed the hub's copy of it; zero if it never did.
+	confirmedAt time.Time
 }
 
 // Summary returns the last summary received from a hub, the name and incarnation of
@@ -67,14 +69,26 @@
 	return h.summary, h.hub, h.at, h.summary != nil && m.now().Sub(h.at) < summaryTTL
 }
 
-// SetSummary stores a summary that a hub sent at the given local time.
-func (m *Members) SetSummary(hubRecord *Record, s *Summary, at time.Time) {
+// HubConfirmedAt returns when the store last confirmed the copy of the hub that has sent the last
+// summary; zero if it never did, or if there is no summary within summaryTTL.
+func (m *Members) HubConfirmedAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.hubSummary.summary == nil || m.now().Sub(m.hubSummary.at) >= summaryTTL {
+		return time.Time{}
+	}
+	return m.hubSummary.confirmedAt
+}
+
+// SetSummary stores a summary that a hub sent at the local time at. The store last confirmed the
+// hub's copy of it at confirmedAt.
+func (m *Members) SetSummary(hubRecord *Record, s *Summary, at, confirmedAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	// A restarted hub has lost its totals, so its sums are not comparable with earlier
 	// ones.
 	hub := fmt.Sprintf("%s/%d", hubRecord.GetNode(), hubRecord.GetIncarnation())
-	m.hubSummary = hubSummary{s, hub, m.now(), time.UnixMicro(s.AgreedUs).Sub(m.steadyTime(at))}
+	m.hubSummary = hubSummary{s, hub, m.now(), time.UnixMicro(s.AgreedUs).Sub(m.steadyTime(at)), confirmedAt}
 	for _, address := range s.Callers {
 		m.clientAddresses[address] = m.now()
 	}
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -126,7 +126,7 @@
 	n.forwardPeers = newForwardPeers()
 	n.crashes = newCrashDetector(n.upstreams, n.prober)
 	n.usage = newUsageCounter(settings.Duties.UsageWindow, n.clusterTime)
-	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.localRecord, Seeds: n.seeds, Entries: n.roster.Entries, NeedsAllRecords: n.holdsLease, OnStalledConn: n.onStalledConn, RaiseIncarnation: n.raiseIncarnation, OnSuspects: n.applyReports, Streams: n.streams}
+	n.peers = &cluster.Node{Members: n.members, View: n.view, Own: n.localRecord, Seeds: n.seeds, Entries: n.roster.Present, NeedsAllRecords: n.holdsLease, OnStalledConn: n.onStalledConn, RaiseIncarnation: n.raiseIncarnation, OnSuspects: n.applyReports, Streams: n.streams}
 	n.incarnation.Store(now.UnixMicro())
 	n.peers.OnProbe = n.probeForPeer
 	n.peers.Start()
@@ -197,7 +197,8 @@
 		n.upstreams.closeIdleConnections() // the servers may have closed them
 	})
 	klog.InfoS("started", "node", n.initial.Node, "callers", n.initial.Listen.Callers)
-	go n.view.Follow(background, hubAwareStore{n.store, n.receivesHubUpdates}, "")
+	go n.view.Follow(background, hubAwareStore{n.store, n.receivesHubUpdates, n.storeDelay}, "")
+	go process.Every(background, hubConfirmInterval/2, func() { n.confirmHubView(background) })
 	go n.peers.Run(background)
 	go n.applyLoop(background)
 	go process.Every(background, stepInterval, n.applyPeerState)
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -57,7 +57,7 @@
 }
 
 const (
-	hubUpdateMaxAge  = 1500 * time.Millisecond // age of the last summary up to which a hub is assumed to forward store changes
+	summaryMaxAge    = 1500 * time.Millisecond // age of the last summary up to which a hub is assumed to reply
 	nonHubLeaseDelay = 5 * time.Second         // uptime after which a node that is not a hub may acquire the duty lease
 )
 
@@ -232,10 +232,12 @@
 		if n.receivesHubUpdates() {
 			continue
 		}
+		sent := clock.Now()
 		stored, _, storeRevision, err := n.store.Get(ctx, n.platform.ConfigKey())
 		if err != nil || !sleep(ctx, watchLagLimit) {
 			continue
 		}
+		n.view.Confirm(storeRevision, sent)
 		complete, _ := n.view.Complete()
 		current, _ := n.view.Get(stored.Key)
 		if complete >= storeRevision && current.Revision >= stored.Revision {
@@ -280,13 +282,6 @@
 	return out
 }
 
-// receivesHubUpdates reports whether a hub forwards store changes to this node,
-// so that it needs no watch of its own.
-func (n *Node) receivesHubUpdates() bool {
-	_, _, at, ok := n.members.Summary()
-	return ok && clock.Since(at) < hubUpdateMaxAge && n.peers.UsesHubs() && !n.peers.IsHub()
-}
-
 // holdsLease reports whether this node holds the duty lease.
 func (n *Node) holdsLease() bool {
 	_, held := n.lease.Term()
@@ -294,9 +289,9 @@
 }
 
 // mayAcquireLease reports whether this node may try to acquire the duty lease. In
-// a large system the hubs do; other nodes only if they receive no hub updates.
+// a large system the hubs do; other nodes only if no hub replies to them.
 func (n *Node) mayAcquireLease() bool {
-	return !n.peers.UsesHubs() || n.peers.IsHub() || !n.receivesHubUpdates() && clock.Since(n.startedAt) > nonHubLeaseDelay
+	return !n.peers.UsesHubs() || n.peers.IsHub() || !n.hearsHub() && clock.Since(n.startedAt) > nonHubLeaseDelay
 }
 
 // dutyLoop starts the loops that maintain the duty lease and perform the duties.
--- a/src/view/view.go
+++ b/src/view/view.go
@@ -141,12 +141,12 @@
 	}
 }
 
-// ConfirmByPeer records that the store had no change after rev the given time ago, as a peer
-// has heard.
-func (v *View) ConfirmByPeer(rev int64, age time.Duration) {
+// Confirm records that the store had no change after rev at the given local time, as a read or
+// a peer has shown.
+func (v *View) Confirm(rev int64, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.confirm(rev, clock.Now().Add(-age))
+	v.confirm(rev, at)
 }
 
 // ConfirmedAge returns how long ago the view lacked nothing that the store had, and false if
