--- a/src/admit/restart.go
+++ b/src/admit/restart.go
@@ -116,10 +116,10 @@
 // customer, also those of which the process had reported nothing yet, unless that was a
 // window ago.
 func (l *SharedLimiter) chargeLost(peer *peerTotals, now time.Time) {
-	silent := now.Sub(peer.receivedAt)
+	silent := now.Sub(peer.MadeAt)
 	period := min(silent, peerTimeout).Seconds()
 	for customer, bucket := range l.buckets {
-		outOfWindow := peer.totals[customer] == 0 && silent >= l.tolerance.Window
+		outOfWindow := peer.Totals[customer] == 0 && silent >= l.tolerance.Window
 		if !bucket.known || bucket.depth == 0 || outOfWindow {
 			continue
 		}
--- a/src/admit/restart_test.go
+++ b/src/admit/restart_test.go
@@ -38,7 +38,7 @@
 	for i, from := range s.limiters {
 		for j, to := range s.limiters {
 			if i != j && i != partitioned && j != partitioned {
-				to.MergeTotals(fmt.Sprint(i), s.incarnations[i], from.Totals(), now)
+				to.MergeTotals(reportOf(fmt.Sprint(i), s.incarnations[i], from.Totals(), now))
 				to.AdoptLevels(fmt.Sprint(i), from.Levels(now), now, now)
 			}
 		}
--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -66,8 +66,8 @@
 	firstStart bool // no process of the system has run before this one
 	filled     bool // buckets begin with a first filling
 	buckets    map[string]*sharedBucket
-	admitted   map[string]float64     // running totals of this node by customer
-	peers      map[string]*peerTotals // receivedAt is zero until the first report
+	admitted   map[string]float64 // running totals of this node by customer
+	peers      map[string]*peerTotals
 	nodes      int
 	aggregated bool // set by SetAggregate, cleared by SetPeers
 	tolerance  Tolerance
@@ -87,13 +87,29 @@
 	localLevel   float64 // level of a second bucket, which holds this node to its local cap (localCapBelow)
 }
 
+// PeerReport is what a peer reports of its admissions. Reports may arrive late, repeatedly, out of
+// order and through other nodes.
+type PeerReport struct {
+	Peer        string
+	Incarnation int64              // of the peer's process
+	Sequence    int64              // of the report, increasing within an incarnation
+	Totals      map[string]float64 // running totals by customer, since the process started
+	MadeAt      time.Time          // by this node's clock
+}
+
+// supersedes reports whether a report is later than the last one that was merged.
+func (r *PeerReport) supersedes(last *PeerReport) bool {
+	if r.Incarnation != last.Incarnation {
+		return r.Incarnation > last.Incarnation
+	}
+	return r.Sequence > last.Sequence
+}
+
 // peerTotals is the last report of a peer.
 type peerTotals struct {
-	incarnation int64
-	totals      map[string]float64
-	receivedAt  time.Time
-	levelsAt    time.Time          // of the last levels that were adopted
-	estimated   map[string]float64 // charged since the last report, while the peer was silent
+	PeerReport                    // MadeAt is zero until the first report
+	levelsAt   time.Time          // of the last levels that were adopted
+	estimated  map[string]float64 // charged since the last report, while the peer was silent
 }
 
 // NewSharedLimiter returns the limiter of a process. firstStart means that no process of the
@@ -147,25 +163,26 @@
 	}
 }
 
-// MergeTotals charges the admissions in a peer's report of its running totals.
-func (l *SharedLimiter) MergeTotals(node string, incarnation int64, totals map[string]float64, now time.Time) {
+// MergeTotals charges the admissions in a peer's report. A report that is not later than the last
+// one is ignored: it says nothing of what the peer has been charged for since.
+func (l *SharedLimiter) MergeTotals(report PeerReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	peer := l.peers[node]
-	if peer == nil || peer.receivedAt.IsZero() {
+	peer := l.peers[report.Peer]
+	if peer == nil || peer.MadeAt.IsZero() {
 		// The first report is the baseline; earlier admissions are not charged.
-		l.peers[node] = &peerTotals{incarnation: incarnation, totals: totals, receivedAt: now, estimated: map[string]float64{}}
+		l.peers[report.Peer] = &peerTotals{PeerReport: report, estimated: map[string]float64{}}
 		return
 	}
-	if incarnation < peer.incarnation {
+	if !report.supersedes(&peer.PeerReport) {
 		return
 	}
-	before := peer.totals
-	if incarnation > peer.incarnation {
-		l.chargeLost(peer, now)
+	before := peer.Totals
+	if report.Incarnation > peer.Incarnation {
+		l.chargeLost(peer, report.MadeAt)
 		before = nil
 	}
-	for customer, total := range totals {
+	for customer, total := range report.Totals {
 		bucket := l.buckets[customer]
 		if bucket == nil || !bucket.known || bucket.depth == 0 {
 			continue
@@ -176,7 +193,7 @@
 	for customer, estimated := range peer.estimated {
 		l.buckets[customer].level += estimated // what the report says replaces it
 	}
-	peer.incarnation, peer.totals, peer.receivedAt = incarnation, totals, now
+	peer.PeerReport = report
 	clear(peer.estimated)
 }
 
@@ -207,7 +224,7 @@
 	fill, depth := l.tolerance.bucketSize(rate, burst, used)
 	bucket := l.refill(customer, fill, depth, now)
 	bucket.largestCost = max(bucket.largestCost, cost)
-	level := bucket.level - l.unreportedRemote(bucket)
+	level := bucket.level - l.unreportedRemote(bucket, now)
 	required := requiredLevel(cost, priority, depth)
 	if l.restarted(now) {
 		required = max(required, cost) // what this process overdraws would be forgotten with it
@@ -260,12 +277,19 @@
 // unreportedRemote estimates the peers' admissions that have not been reported
 // yet, from this node's recent admissions or, with SetAggregate, from the recent
 // growth of the sum.
-func (l *SharedLimiter) unreportedRemote(bucket *sharedBucket) float64 {
+// Silent peers are not among them, as they are charged even shares.
+func (l *SharedLimiter) unreportedRemote(bucket *sharedBucket, now time.Time) float64 {
 	if l.aggregated {
 		// With many nodes, the admissions of one are too small a sample.
 		return bucket.recentRemote * aggregateDelay.Seconds() / recentTimeConstant.Seconds()
 	}
-	return bucket.recentLocal * float64(min(l.nodes-1, maxExtrapolatedPeers)) * exchangeDelay.Seconds() / recentTimeConstant.Seconds()
+	heard := 0
+	for _, peer := range l.peers {
+		if now.Sub(peer.MadeAt) <= peerTimeout {
+			heard++
+		}
+	}
+	return bucket.recentLocal * float64(min(heard, maxExtrapolatedPeers)) * exchangeDelay.Seconds() / recentTimeConstant.Seconds()
 }
 
 // Refund returns the cost of a request that did not run.
@@ -320,17 +344,31 @@
 		return
 	}
 	bucket.level += bucket.fill * elapsed
-	even, timeout := l.evenShare(bucket)*elapsed, peerTimeout
+	l.chargeSilent(customer, bucket, elapsed, now)
+	bucket.level = min(bucket.level, bucket.depth)
+}
+
+// chargeSilent charges the even shares of silent peers for the last elapsed seconds. A peer that
+// has just become silent is also charged for the time since its last report, and for an even
+// part of the bucket, as each of the nodes that have lost each other may use what is in it.
+func (l *SharedLimiter) chargeSilent(customer string, bucket *sharedBucket, elapsed float64, now time.Time) {
+	peers, timeout := 1.0, peerTimeout // that each report stands for
 	if l.aggregated {
-		even, timeout = even*float64(l.nodes-1), aggregateTimeout
+		peers, timeout = float64(l.nodes-1), aggregateTimeout
 	}
+	part := max(min(bucket.level, bucket.depth), 0) / float64(l.nodes)
 	for _, peer := range l.peers {
-		if now.Sub(peer.receivedAt) > timeout {
-			peer.estimated[customer] += even
-			bucket.level -= even
+		silent := now.Sub(peer.MadeAt)
+		if silent <= timeout {
+			continue
+		}
+		charge := l.evenShare(bucket) * elapsed
+		if _, charged := peer.estimated[customer]; !charged && !peer.MadeAt.IsZero() {
+			charge = l.evenShare(bucket)*max(elapsed, min(silent, maxRefillInterval).Seconds()) + part
 		}
+		peer.estimated[customer] += peers * charge
+		bucket.level -= peers * charge
 	}
-	bucket.level = min(bucket.level, bucket.depth)
 }
 
 // evenShare returns a node's even share of a customer's limit, per second.
--- a/src/admit/shared_test.go
+++ b/src/admit/shared_test.go
@@ -81,11 +81,16 @@
 	return out
 }
 
+// reportOf returns a peer's report. Reports that are made later have a higher sequence number.
+func reportOf(peer string, incarnation int64, totals map[string]float64, madeAt time.Time) PeerReport {
+	return PeerReport{Peer: peer, Incarnation: incarnation, Sequence: madeAt.UnixMicro(), Totals: totals, MadeAt: madeAt}
+}
+
 func exchangeTotals(limiters []*SharedLimiter, partitioned int, now time.Time) {
 	for i, from := range limiters {
 		for j, to := range limiters {
 			if i != j && i != partitioned && j != partitioned {
-				to.MergeTotals(fmt.Sprint(i), 1, from.Totals(), now)
+				to.MergeTotals(reportOf(fmt.Sprint(i), 1, from.Totals(), now))
 			}
 		}
 	}
@@ -171,7 +176,7 @@
 	for at := range 40 {
 		now := startTime.Add(time.Duration(at) * 100 * time.Millisecond)
 		for node := 1; node < 9; node++ {
-			l.MergeTotals(fmt.Sprint(node), 1, map[string]float64{"c": 0}, now)
+			l.MergeTotals(reportOf(fmt.Sprint(node), 1, map[string]float64{"c": 0}, now))
 		}
 	}
 	now := startTime.Add(4 * time.Second)
@@ -240,7 +245,7 @@
 
 func sendSums(limiters []*SharedLimiter, sums []float64, now time.Time) {
 	for i, sum := range sums {
-		limiters[i].MergeTotals("hub", 1, map[string]float64{"c": sum}, now)
+		limiters[i].MergeTotals(reportOf("hub", 1, map[string]float64{"c": sum}, now))
 	}
 }
 
@@ -258,7 +263,7 @@
 	is := is.New(t)
 	l := NewSharedLimiter(startTime, Tolerance{Window: 8 * time.Second}, true)
 	l.SetPeers([]string{"peer"})
-	l.MergeTotals("peer", 1, map[string]float64{"c": 0}, startTime)
+	l.MergeTotals(reportOf("peer", 1, map[string]float64{"c": 0}, startTime))
 	now := startTime
 	for range 8 {
 		now = now.Add(time.Second)
@@ -271,7 +276,7 @@
 	before := l.buckets["c"].level
 	estimated := l.peers["peer"].estimated["c"]
 	is.True(estimated > 100)
-	l.MergeTotals("peer", 2, map[string]float64{"other": 5}, now)
+	l.MergeTotals(reportOf("peer", 2, map[string]float64{"other": 5}, now))
 	is.Equal(l.buckets["c"].level, before+estimated)
 	is.Equal(len(l.peers["peer"].estimated), 0)
 }
--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -407,7 +407,9 @@
 }
 
 // ceilMilliseconds returns a duration in milliseconds, rounded up.
-func ceilMilliseconds(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+func ceilMilliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
 
 // recordAge returns the age of a record in m.Others at the time of sending.
 func recordAge(m *Message, index int) time.Duration {
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -84,7 +84,7 @@
 	for _, m := range n.members.All() {
 		r := m.Record
 		if r.Node != n.initial.Node {
-			n.mergeAdmitted(r.Node, r.Incarnation, r.Admitted, m.Heard)
+			n.mergeAdmitted(admit.PeerReport{Peer: r.Node, Incarnation: r.Incarnation, Sequence: r.Sequence, MadeAt: m.Heard}, r.Admitted)
 		}
 	}
 	remote := map[string]serverLoad{}
@@ -103,7 +103,7 @@
 	n.mergeLimits(s.Limits)
 	n.mergeBrittle(s.Brittle)
 	n.quota.SetAggregate(hub, max(int(s.Nodes), n.roster.Count())-1)
-	n.mergeAdmitted(hub, summaryIncarnation, s.Admitted, at)
+	n.mergeAdmitted(admit.PeerReport{Peer: hub, Sequence: at.UnixMicro(), MadeAt: at}, s.Admitted)
 	remote := make(map[string]serverLoad, len(s.Heavy))
 	for _, load := range s.Heavy {
 		remote[load.Server] = serverLoad{int(load.Requests), load.UnreadTokens}
@@ -111,10 +111,6 @@
 	n.upstreams.setRemoteLoads(remote, serverLoad{int(s.MeanRequests), int64(s.MeanUnread)})
 }
 
-// summaryIncarnation is the incarnation used for totals summed over all nodes. It is
-// constant because the hub's own incarnation is part of the source name.
-const summaryIncarnation = 1
-
 // reportAdmitted returns what this node has admitted of each customer, and the levels of its
 // buckets, for its record.
 func (n *Node) reportAdmitted() []*cluster.Tally {
@@ -132,16 +128,17 @@
 }
 
 // mergeAdmitted adds what a node, or a hub for all others, reports of the customers.
-func (n *Node) mergeAdmitted(source string, incarnation int64, admitted []*cluster.Tally, heard time.Time) {
-	totals, levels := make(map[string]float64, len(admitted)), map[string]admit.BucketLevel{}
+func (n *Node) mergeAdmitted(report admit.PeerReport, admitted []*cluster.Tally) {
+	levels := map[string]admit.BucketLevel{}
+	report.Totals = make(map[string]float64, len(admitted))
 	for _, t := range admitted {
-		totals[t.Name] = t.Total
+		report.Totals[t.Name] = t.Total
 		if t.Level != nil {
 			levels[t.Name] = admit.BucketLevel{Level: *t.Level, Recent: t.Recent}
 		}
 	}
-	n.quota.MergeTotals(source, incarnation, totals, heard)
-	n.quota.AdoptLevels(source, levels, heard, clock.Now())
+	n.quota.MergeTotals(report)
+	n.quota.AdoptLevels(report.Peer, levels, report.MadeAt, clock.Now())
 }
 
 // applyLoop applies every change of the view.
