--- a/src/gateway/client_request.go
+++ b/src/gateway/client_request.go
@@ -81,6 +81,7 @@
 	codeStreamUnknown      = "stream_unknown"      // no node knows at which version it began
 	codeStreamMoved        = "stream_moved"        // the route does not lead to the service at which it began
 	codeVersionUnavailable = "version_unavailable" // no server of its version may be sent to
+	codeVersionNotStored   = "version_not_stored"  // of a new stream: its service's versions are not in the store yet
 )
 
 const (
--- a/src/gateway/finish.go
+++ b/src/gateway/finish.go
@@ -26,6 +26,9 @@
 // finishWithoutServer ends a request that no server may be sent to now.
 func (f *forwarder) finishWithoutServer(ctx context.Context, picked choice) *refusal {
 	f.recordShortage()
+	if picked.unstored && f.reached == 0 {
+		return f.finish(ctx, codeVersionNotStored, request.Jitter(noServerRetryAfter))
+	}
 	limitWait := picked.wait
 	if picked.full && limitWait == 0 {
 		limitWait = placesRetryAfter
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -40,6 +40,7 @@
 	counted         bool // among the requests that this node sends to servers
 	usageCounted    bool
 	remembered      bool            // where the stream began
+	storedVersions  bool            // it has waited for new versions to be stored
 	soughtPlace     bool            // it was forwarded to a node with places at brittle servers
 	unconnected     int             // servers that this request could not connect to
 	triedPeers      map[string]bool // nodes that it was forwarded to
@@ -82,6 +83,11 @@
 		if picked.reserved {
 			return f.finishReserved(ctx)
 		}
+		if picked.unstored && !f.storedVersions {
+			f.storedVersions = true
+			n.storeNewVersions(ctx, req.service)
+			continue
+		}
 		if s == nil {
 			if _, ok := f.nextPeer(); ok {
 				continue // other requests have found the servers unreachable meanwhile
--- a/src/gateway/forward_peer.go
+++ b/src/gateway/forward_peer.go
@@ -190,7 +190,7 @@
 	case codeStopping, codeNoConfig, codeOutdated, codeNotNode, codeUnreachable, codeNoServer:
 		f.node.forwardPeers.avoid(to.node)
 		return nil
-	case codeVersionUnavailable: // of this stream; the node serves others
+	case codeVersionUnavailable, codeVersionNotStored: // of this stream; the node serves others
 		return nil
 	}
 	f.recordPeerRuns(refusedRuns(to, resp))
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -85,6 +85,8 @@
 	suspectRuns    suspectRuns            // copies of them in progress
 	streams        *origin.Memory         // where streams began
 	shortages      versionShortages       // versions that lack places for streams bound to them
+	historyReads   *historyReads          // of the versions that services have had
+	versionWrites  versionWrites          // of new versions, for requests that wait
 	limits         *admit.UpstreamLimiter // limits that servers have named
 
 	startedAt      time.Time
@@ -121,6 +123,8 @@
 	}
 	n.streams = origin.NewMemory(clock.Now)
 	n.historyDue = map[string]time.Time{}
+	n.historyReads = newHistoryReads(n.store, n.roster.Count)
+	n.versionWrites.running = map[string]chan struct{}{}
 	n.upstreams.confirmedAt = n.viewConfirmedAt
 	n.prober = newProber()
 	n.forwardPeers = newForwardPeers()
--- a/src/gateway/pick.go
+++ b/src/gateway/pick.go
@@ -15,6 +15,7 @@
 	wait     time.Duration // if only limits of servers leave none: the time after which to try again
 	full     bool          // only the places at brittle servers leave none
 	reserved bool          // the servers that are left are not for a suspected request
+	unstored bool          // only versions that are not stored yet are left, where no stream may begin
 }
 
 // chooseServer picks the server for the next send, takes the request from its limit and adds
@@ -22,7 +23,11 @@
 func (n *Node) chooseServer(req *clientRequest, decision quarantine.Decision, excluded map[string]bool) choice {
 	n.rngMu.Lock()
 	defer n.rngMu.Unlock()
-	list, wait := n.withinLimits(n.upstreams.candidatesOf(req.service, req.origin.Version, excluded), req.priority)
+	listed := n.upstreams.candidatesOf(req.service, req.origin.Version, excluded)
+	unstored := len(listed) > 0
+	listed = n.atStoredVersions(req, listed)
+	unstored = unstored && len(listed) == 0
+	list, wait := n.withinLimits(listed, req.priority)
 	list, full := n.withinPlaces(list)
 	list = n.leaveRoom(req, list)
 	list = preferred(list, func(c candidate) bool { return !c.backingOff })
@@ -34,7 +39,7 @@
 	}
 	picked := n.pick(req, decision, keepApart(list, decision.Standing))
 	if picked.server == nil {
-		return choice{wait: wait, full: full}
+		return choice{wait: wait, full: full, unstored: unstored}
 	}
 	n.limits.Take(picked.server.run(), req.priority, clock.Now())
 	n.upstreams.beginRequest(picked.server, picked.uncached)
--- a/src/gateway/stream_origin.go
+++ b/src/gateway/stream_origin.go
@@ -16,10 +16,9 @@
 // Limits of looking for the origin of a stream.
 const (
 	recallTimeout     = 300 * time.Millisecond // for which other nodes may take to reply
-	recallRetryAfter  = 500 * time.Millisecond // if some have not replied
+	recallRetryAfter  = 500 * time.Millisecond // if some, or the store, have not replied
 	streamGrace       = 10 * time.Second       // after a client's deadline, for which its stream is remembered
 	maxAttemptIDBytes = 256
-	viewMaxAge        = 4 * time.Second // of the list of servers, up to which it shows all versions
 )
 
 // How the origin of a stream that a client takes up was found, for logs and metrics.
@@ -106,26 +105,32 @@
 			return at, originByPeer, true
 		}
 	}
-	if version, ok := n.soleVersion(req); ok {
+	version, ok, err := n.soleVersion(req)
+	switch {
+	case err != nil:
+		klog.InfoS("version_history_not_read", "service", req.service, "err", err)
+		return origin.Origin{}, originUnknown, false
+	case ok:
 		return origin.Origin{Service: req.service, Version: version}, originBySole, true
 	}
 	return origin.Origin{}, originUnknown, complete
 }
 
 // soleVersion returns the version that all servers which may have begun a stream of the
-// request's route have.
-func (n *Node) soleVersion(req *clientRequest) (version string, ok bool) {
+// request's route have. It relies on the history as stored after the request arrived: no stream
+// begins at a version that the history does not name (atStoredVersions).
+func (n *Node) soleVersion(req *clientRequest) (version string, ok bool, err error) {
 	if services := req.route.Services(); len(services) != 1 {
-		return "", false
-	}
-	if age, ok := n.view.ConfirmedAge(); !ok || age > viewMaxAge {
-		return "", false
+		return "", false, nil
 	}
-	history, _, ok := n.versionHistory(req.service)
-	if !ok {
-		return "", false
+	ctx, cancel := context.WithTimeout(req.request.Context(), historyReadTimeout)
+	defer cancel()
+	history, ok, err := n.historyReads.read(ctx, req.service)
+	if err != nil || !ok {
+		return "", false, err
 	}
-	return history.Sole(n.upstreams.listedVersions(req.service), n.clusterTime())
+	version, ok = history.Sole(n.upstreams.listedVersions(req.service), n.clusterTime())
+	return version, ok, nil
 }
 
 // rememberOrigin binds the stream to the version that has sent its first event, and remembers
--- a/src/origin/history.go
+++ b/src/origin/history.go
@@ -37,6 +37,23 @@
 	return h, false
 }
 
+// Adds reports whether h names versions that before does not.
+func (h History) Adds(before History) bool {
+	for version := range h.Gone {
+		if _, ok := before.Gone[version]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Names reports whether a stream may begin at a version: h names it, and goes on to do so for as
+// long as the stream can be in progress.
+func (h History) Names(version string, now time.Time) bool {
+	gone, ok := h.Gone[version]
+	return ok && (gone.IsZero() || now.Sub(gone) <= MaxAge/2)
+}
+
 // present returns the versions of which there is a server, sorted.
 func (h History) present() []string {
 	var out []string
--- a/src/origin/history_test.go
+++ b/src/origin/history_test.go
@@ -58,3 +58,15 @@
 	_, err = DecodeHistory([]byte("no history"))
 	is.True(err != nil)
 }
+
+// Guards against streams that begin at a version which is about to leave the history.
+func TestVersionIsNamedWhileItsStreamsAreRemembered(t *testing.T) {
+	is := is.New(t)
+	h := History{Gone: map[string]time.Time{"v1": {}, "v2": historyTime.Add(-MaxAge / 4), "v3": historyTime.Add(-MaxAge * 3 / 4)}}
+	is.True(h.Names("v1", historyTime))
+	is.True(h.Names("v2", historyTime)) // a server of it may have come back
+	is.True(!h.Names("v3", historyTime))
+	is.True(!h.Names("v4", historyTime))
+	is.True(h.Adds(History{Gone: map[string]time.Time{"v1": {}, "v2": {}}}))
+	is.True(!h.Adds(h))
+}
--- a/test/gateway_testbed_test.go
+++ b/test/gateway_testbed_test.go
@@ -140,7 +140,12 @@
 // startProcessNode is startProcess for a node that requests are sent to. The node cannot be
 // stopped but by its process.
 func (b *gatewayTestbed) startProcessNode(name string, seeds ...string) (*proc, *gatewayNode) {
-	path := b.writeSettings(name, true, b.store.Address(), seeds)
+	return b.startProcessNodeAt(b.store.Address(), name, seeds...)
+}
+
+// startProcessNodeAt is startProcessNode for a node that uses the store at the given address.
+func (b *gatewayTestbed) startProcessNodeAt(storeAddress, name string, seeds ...string) (*proc, *gatewayNode) {
+	path := b.writeSettings(name, true, storeAddress, seeds)
 	set, err := platform.Load(path)
 	b.is.NoErr(err)
 	p := &proc{t: b.t, name: name, path: path, log: path + ".log"}
--- a/test/stream_takeup_test.go
+++ b/test/stream_takeup_test.go
@@ -17,7 +17,7 @@
 const (
 	streamUnknown   = "stream_unknown\n"
 	otherAPIKey     = "key-of-two"
-	viewMaxAge      = 4 * time.Second // of the list of servers, up to which it shows all versions
+	storeOutage     = 5 * time.Second // after which nodes have noticed it
 	promptRefusal   = 500 * time.Millisecond
 	versionHistory  = "crankridge/versions/"
 	largeSystem     = 18 // nodes, which exchange through hubs
@@ -110,7 +110,7 @@
 	}
 	b.eventually("goes on", goesOn)
 	b.store.SetFaults(fake.Faults{Unresponsive: true})
-	time.Sleep(viewMaxAge + time.Second)
+	time.Sleep(storeOutage)
 	for i, n := range nodes {
 		got := b.takeUp(unknown(), fmt.Sprint("old-", i), n)
 		is.Equal(got.status, http.StatusServiceUnavailable)
