--- a/src/cluster/exchange.go
+++ b/src/cluster/exchange.go
@@ -24,6 +24,7 @@
 	fanout            = 8                // known nodes contacted per round
 	minKnownNodes     = 3                // with fewer other nodes known, all seeds are contacted as well
 	roundsPerSeed     = 8                // rounds between contacts with a seed once enough nodes are known
+	maxMessageBytes   = 32 << 20         // of one message between nodes
 	maxRelayedRecords = 12               // records of other nodes in one message
 	maxIdlePerPeer    = 2                // connections
 	idleTimeout       = 10 * time.Second // of a connection
@@ -72,9 +73,10 @@
 
 // Start initializes the node.
 func (n *Node) Start() {
-	n.client = &http.Client{Transport: &conn.StallDetectingTransport{OnStalledConn: n.OnStalledConn, Transport: &http.Transport{
+	transport := &conn.StallDetectingTransport{OnStalledConn: n.OnStalledConn, Transport: &http.Transport{
 		DialContext: conn.Dialer(callTimeout).DialContext, MaxIdleConnsPerHost: maxIdlePerPeer, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
+	}}
+	n.client = &http.Client{Transport: &conn.LimitingTransport{RoundTripper: transport, MaxBytes: maxMessageBytes}}
 	n.clients = map[string]Cluster{}
 	n.inFlight = map[string]bool{}
 	n.dependencies = map[string]*telemetry.Dependency{}
@@ -420,4 +422,6 @@
 }
 
 // Handler returns the HTTP handler of the Cluster service.
-func (n *Node) Handler() http.Handler { return NewClusterServer(n) }
+func (n *Node) Handler() http.Handler {
+	return http.MaxBytesHandler(NewClusterServer(n), maxMessageBytes)
+}
--- a/src/gateway/accept_forwarded.go
+++ b/src/gateway/accept_forwarded.go
@@ -20,6 +20,7 @@
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
 	arrived := clock.Now()
+	unlimitWrites(w)
 	if refused := n.acceptForwarded(w, r, arrived); refused != nil {
 		w.Header().Set(headerRefused, refused.code)
 		w.Header().Set(headerRuns, strconv.Itoa(refused.runs))
--- a/src/gateway/client_request.go
+++ b/src/gateway/client_request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -187,6 +188,20 @@
 	}
 }
 
+// maxEvents returns how many events a stream of the request has at most, or unlimitedEvents if the
+// client does not state how many tokens it may generate.
+func (req *clientRequest) maxEvents() int {
+	if !req.hasTokenCount || req.tokensOut <= 0 || req.tokensOut > math.MaxInt32 {
+		return unlimitedEvents
+	}
+	return int(req.tokensOut)*eventsPerToken + extraEvents
+}
+
+// hasAllEvents reports whether more events have been sent than the request may generate tokens.
+func (req *clientRequest) hasAllEvents(events int) bool {
+	return req.hasTokenCount && req.tokensOut > 0 && int64(events) > req.tokensOut
+}
+
 // requestDigest returns the digest by which the request is recognized in other attempts.
 func (req *clientRequest) requestDigest() quarantine.Digest {
 	if req.digest == (quarantine.Digest{}) {
--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -40,6 +40,7 @@
 	counted         bool // among the requests that this node sends to servers
 	usageCounted    bool
 	remembered      bool            // where the stream began
+	endless         bool            // a server's response did not end
 	storedVersions  bool            // it has waited for new versions to be stored
 	soughtPlace     bool            // it was forwarded to a node with places at brittle servers
 	unconnected     int             // servers that this request could not connect to
@@ -61,7 +62,8 @@
 func (n *Node) forward(w http.ResponseWriter, req *clientRequest) *refusal {
 	ctx, cancel := clock.WithDeadline(req.request.Context(), req.deadline)
 	defer cancel()
-	f := &forwarder{node: n, req: req, response: &clientResponse{writer: w, toNode: req.forwarded}, excluded: map[string]bool{}, triedPeers: map[string]bool{}}
+	limitWrites(w, req.deadline)
+	f := &forwarder{node: n, req: req, response: &clientResponse{writer: w, toNode: req.forwarded, maxEvents: req.maxEvents()}, excluded: map[string]bool{}, triedPeers: map[string]bool{}}
 	f.counted, f.usageCounted = req.counted, req.earlierRuns > 0
 	for {
 		if to, ok := f.nextPeer(); ok {
@@ -161,6 +163,8 @@
 // mayResend reports whether the request may be sent to another server.
 func (f *forwarder) mayResend() bool {
 	switch {
+	case f.endless && f.response.headerSent, f.req.hasAllEvents(f.response.events):
+		return false // what was relayed last may be no part of an answer
 	case f.sends >= maxSends, f.req.trialVersion != "" && f.reached > 0:
 		return false
 	case f.runs == 0:
@@ -248,8 +252,9 @@
 		}
 	}
 	if err != nil {
-		if ctx.Err() == nil {
-			n.upstreams.recordFailure(s, false)
+		f.endless = errors.Is(err, errEndless) || errors.Is(err, errEventTooLarge)
+		if ctx.Err() == nil || f.endless {
+			n.upstreams.recordFailure(s, f.endless)
 		}
 		return false, err
 	}
--- a/src/gateway/node.go
+++ b/src/gateway/node.go
@@ -285,6 +285,7 @@
 	arrived := clock.Now()
 	n.openRequests.Add(1)
 	defer n.openRequests.Add(-1)
+	unlimitWrites(w) // the connection's last request has limited them
 	if refused := n.handle(w, r, arrived); refused != nil {
 		n.writeRefusal(w, r, refused, arrived)
 	}
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -8,17 +8,27 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 )
 
 const (
 	maxBufferedBytes = 1 << 20 // of a response that is read completely before it is relayed
 	streamBufferSize = 16 << 10
 	maxEventBytes    = 1 << 20
+
+	// Bounds of a response, beyond which it counts as one without an end.
+	maxUnsizedBytes  = 64 << 20 // without a length
+	maxSizedBytes    = 1 << 30  // length that a response may state
+	eventsPerToken   = 2        // events of a stream for each token that its request may generate
+	extraEvents      = 64       // beyond these
+	unlimitedEvents  = -1
+	writeGracePeriod = 250 * time.Millisecond // from a request's deadline until its client's connection takes no more of the response
 )
 
 var (
 	errTruncated     = errors.New("response truncated")
 	errEventTooLarge = fmt.Errorf("stream event exceeds %d bytes", maxEventBytes)
+	errEndless       = errors.New("response does not end")
 )
 
 // clientResponse is the response to the client and what has been sent of it.
@@ -29,6 +39,7 @@
 	lastEventID string
 	status      int
 	version     string // of the software of the server that sends the stream; empty if unknown
+	maxEvents   int    // of a stream, or unlimitedEvents
 	toNode      bool   // the response goes to a node that has forwarded the request
 }
 
@@ -72,6 +83,9 @@
 // relayWhole reads the response completely before relaying it, so that nothing
 // is sent if reading fails. Beyond maxBufferedBytes it streams the rest.
 func (r *clientResponse) relayWhole(resp *http.Response, closeConn bool, checkEnd endCheck) error {
+	if resp.ContentLength > maxSizedBytes && resp.Request.Method != http.MethodHead {
+		return errEndless
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err != nil {
 		return fmt.Errorf("%w: %w", errTruncated, err)
@@ -89,12 +103,26 @@
 	if _, err := r.writer.Write(body); err != nil || whole {
 		return err
 	}
-	if _, err := io.Copy(r.writer, resp.Body); err != nil {
+	if err := r.relayRest(resp, int64(len(body))); err != nil {
 		return err
 	}
 	return checkEnd()
 }
 
+// relayRest relays the rest of a response of which the given number of bytes has been relayed.
+func (r *clientResponse) relayRest(resp *http.Response, relayed int64) error {
+	if resp.ContentLength >= 0 {
+		_, err := io.Copy(r.writer, resp.Body)
+		return err
+	}
+	left := maxUnsizedBytes - relayed
+	count, err := io.Copy(r.writer, io.LimitReader(resp.Body, left))
+	if err == nil && count == left {
+		return errEndless
+	}
+	return err
+}
+
 // noEndCheck is the endCheck of responses whose framing shows their end.
 func noEndCheck() error { return nil }
 
@@ -109,10 +137,12 @@
 func (r *clientResponse) relayStream(resp *http.Response, closeConn bool, onEvents func(), checkEnd endCheck) error {
 	flusher := http.NewResponseController(r.writer)
 	var pending []byte
+	received := int64(0)
 	buffer := make([]byte, streamBufferSize)
 	for {
 		count, err := resp.Body.Read(buffer)
 		pending = append(pending, buffer[:count]...)
+		received += int64(count)
 		if end := bytes.LastIndex(pending, eventSeparator); end >= 0 {
 			end += len(eventSeparator)
 			onEvents()
@@ -127,6 +157,8 @@
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
+		case r.maxEvents != unlimitedEvents && r.events > r.maxEvents, received > maxUnsizedBytes:
+			return errEndless
 		case len(pending) > maxEventBytes:
 			return errEventTooLarge
 		case errors.Is(err, io.EOF):
@@ -151,13 +183,17 @@
 	return nil
 }
 
-// recordEvents counts the given complete events and remembers the last event ID.
+// recordEvents counts the given complete events that have data, and remembers the last event ID.
 func (r *clientResponse) recordEvents(events []byte) {
-	for _, line := range bytes.Split(events, []byte("\n")) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			r.lastEventID = string(bytes.TrimSpace(id))
+	for event := range bytes.SplitSeq(events, eventSeparator) {
+		hasData := false
+		for line := range bytes.SplitSeq(event, []byte("\n")) {
+			if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+				r.lastEventID = string(bytes.TrimSpace(id))
+			}
+			hasData = hasData || bytes.HasPrefix(line, []byte("data:"))
 		}
-		if bytes.HasPrefix(line, []byte("data:")) {
+		if hasData {
 			r.events++
 		}
 	}
--- a/src/ports/kv.go
+++ b/src/ports/kv.go
@@ -25,7 +25,7 @@
 	ErrLeaseGone   = errors.New("lease not found or expired")
 )
 
-const maxResponseBytes = 64 << 20
+const maxResponseBytes = 32 << 20
 
 // Item is a key at a revision; Deleted marks a removal reported by a watch.
 type Item struct {
