--- a/src/gateway/forward.go
+++ b/src/gateway/forward.go
@@ -301,13 +301,22 @@
 }
 
 // endCheck returns the check of the end of a server's response. One that is not framed counts as
-// broken off if no process listens at the server any more.
+// broken off if no process listens at the server any more. While a process is killed its
+// listener may still accept connections for a moment, which it closes then.
 func (f *forwarder) endCheck(s *upstream, resp *http.Response) endCheck {
 	if isFramed(resp) {
 		return noEndCheck
 	}
 	return func() error {
-		switch f.node.prober.connect(s.address) {
+		result := f.node.prober.probe(s.address)
+		for range endProbes - 1 {
+			if result != probeClosed {
+				break
+			}
+			time.Sleep(probeHold)
+			result = f.node.prober.probe(s.address)
+		}
+		switch result {
 		case probeRefused:
 			return errTruncated
 		case probeAccepted:
--- a/src/gateway/probe.go
+++ b/src/gateway/probe.go
@@ -13,6 +13,7 @@
 const (
 	probeTimeout = 300 * time.Millisecond // of an attempt to connect
 	probeHold    = 20 * time.Millisecond  // for which a new connection stays open if a server is behind it
+	endProbes    = 3                      // at the end of a response that is not framed, if the connections are closed
 )
 
 // probeResult is the result of an attempt to connect to a server.
