--- a/src/admit/delivery_test.go
+++ b/src/admit/delivery_test.go
@@ -307,3 +307,26 @@
 		}
 	}
 }
+
+// Guards against a node that has been removed, and is charged as newly silent with each repetition
+// of its last report.
+func TestReportOfRemovedPeerIsIgnored(t *testing.T) {
+	const rate, burst = 1000.0, 1000.0
+	l := NewSharedLimiter(startTime, Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 1200}, true)
+	l.SetPeers([]string{"gone"})
+	last := reportOf("gone", 1, map[string]float64{"c": 10}, startTime)
+	l.MergeTotals(last)
+	l.Take("c", 10, 0, rate, burst, startTime.Add(time.Second))
+	served := 0
+	for step := range 100 {
+		now := startTime.Add(10*time.Second + time.Duration(step)*50*time.Millisecond)
+		l.SetPeers(nil)
+		l.MergeTotals(last)
+		if ok, _ := l.Take("c", rate/25, 0, rate, burst, now); ok { // 0.8 of the rate
+			served++
+		}
+	}
+	if served != 100 {
+		t.Fatalf("%d of 100 requests within the limit were admitted", served)
+	}
+}
--- a/src/admit/shared.go
+++ b/src/admit/shared.go
@@ -155,7 +155,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	peer := l.peers[report.Peer]
-	if peer == nil || peer.MadeAt.IsZero() {
+	if peer == nil {
+		return // it shares the limits no more
+	}
+	if peer.MadeAt.IsZero() {
 		// The first report is the baseline; earlier admissions are not charged.
 		l.peers[report.Peer] = &peerTotals{PeerReport: report, estimated: map[string]float64{}}
 		return
--- a/src/cluster/summary.go
+++ b/src/cluster/summary.go
@@ -32,7 +32,7 @@
 type aggregates struct {
 	at       time.Time
 	records  map[string]*Record // by node, those heard from within countedTimeout
-	heard    int                // nodes heard from within HeardTimeout
+	heard    int                // nodes heard from within HeardTimeout, and those that have left
 	admitted map[string]float64 // by customer, including earlier incarnations
 	heavy    []serverLoad       // servers with the most pending prefill, then the most requests
 	// Means over the servers that are not in heavy.
@@ -175,7 +175,7 @@
 		out.suspects = append(out.suspects, r.Suspects...)
 		out.limits = append(out.limits, r.Limits...)
 		out.brittle = append(out.brittle, r.Brittle...)
-		if age <= HeardTimeout {
+		if age <= HeardTimeout || r.Leaving {
 			out.heard++
 		}
 		if age <= AliveTimeout {
--- a/src/gateway/state.go
+++ b/src/gateway/state.go
@@ -5,6 +5,7 @@
 	"log"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -80,7 +81,7 @@
 		n.applySummary(summary, hub, at)
 		return
 	}
-	n.quota.SetPeers(n.roster.Others())
+	n.quota.SetPeers(n.sharingPeers())
 	for _, m := range n.members.All() {
 		r := m.Record
 		if r.Node != n.initial.Node {
@@ -99,6 +100,16 @@
 	n.upstreams.setRemoteLoads(remote, serverLoad{})
 }
 
+// sharingPeers returns the other nodes that may admit requests: not those that have said that they
+// leave, and have been silent since for longer than they go on to admit.
+func (n *Node) sharingPeers() []string {
+	left := map[string]bool{}
+	for _, m := range n.members.All() {
+		left[m.Record.Node] = m.Record.Leaving && n.members.Age(m) > drainPeriod
+	}
+	return slices.DeleteFunc(n.roster.Others(), func(node string) bool { return left[node] })
+}
+
 func (n *Node) applySummary(s *cluster.Summary, hub string, at time.Time) {
 	n.mergeLimits(s.Limits)
 	n.mergeBrittle(s.Brittle)
