--- a/review/stand/rest.go
+++ b/review/stand/rest.go
@@ -16,7 +16,7 @@
 // than IdleTimeoutMs. In bursts many users come at once.
 const (
 	restLength    = 108 * time.Second
-	restRate      = 30.0 // new users a second at each machine
+	restRate      = 32.0 // new users a second at each machine
 	restWork      = 20 * time.Millisecond
 	restDeadline  = 3 * time.Second
 	restContact   = 3 * time.Second // ContactTimeoutMs
--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -11,9 +11,9 @@
 const (
 	stopGrace    = 4 * time.Second
 	stopGap      = 1300 * time.Millisecond
-	stopLength   = 95 * time.Second
+	stopLength   = 98 * time.Second
 	stopMachines = 6
-	stopClients  = 240
+	stopClients  = 320
 	stopPause    = 300 * time.Millisecond // mean time between two requests of a client
 	stopWork     = 20 * time.Millisecond
 	stopDeadline = 3 * time.Second
--- a/review/stand/upload.go
+++ b/review/stand/upload.go
@@ -12,7 +12,7 @@
 // Case upload: a tenant sends hotFactor times its usual for hotTime, several times. Its requests have
 // bodies of the largest size that the configuration allows, sent at uploadRate.
 const (
-	uploadLength   = 70 * time.Second
+	uploadLength   = 96 * time.Second
 	uploadBytes    = 4194304   // MaxBodyBytes
 	uploadRate     = 1_000_000 // bytes a second
 	uploadUsual    = 3.0       // requests a second
@@ -21,7 +21,7 @@
 	uploadDeadline = 15 * time.Second
 	hotFactor      = 7.5
 	hotTime        = 6500 * time.Millisecond
-	hotEvery       = 14 * time.Second
+	hotEvery       = 12 * time.Second
 	memoryLimit    = 284 << 20 // Limits.MemoryMb
 	memoryPoll     = 20 * time.Millisecond
 	memoryEnds     = 3 // of one process, that break the rule
