--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -27,6 +27,7 @@
 	deadline bool // the client's deadline was over
 	status   int  // 0 without an answer
 	whole    bool // the answer arrived whole
+	events   int  // of a stream
 	err      error
 }
 
@@ -134,7 +135,7 @@
 	resp, err := c.transport.RoundTrip(req)
 	if err == nil {
 		out.status = resp.StatusCode
-		_, err = io.Copy(io.Discard, resp.Body)
+		out.events, err = countEvents(resp.Body)
 		_ = resp.Body.Close()
 		out.whole = err == nil
 		if resp.Close {
--- a/review/stand/lab.go
+++ b/review/stand/lab.go
@@ -35,21 +35,22 @@
 
 // lab is one deployment on loopback addresses.
 type lab struct {
-	mu       sync.Mutex
-	started  time.Time
-	record   *os.File
-	dir      string
-	store    *fake.Store
-	storeAt  string // address at which the gateways reach the store
-	cloud    *cloud
-	gateways []*gateway
-	servers  []*server
-	bounds   map[string]string // settings that differ from the defaults of defaultSettings
-	taken    map[string]bool   // addresses of machines
-	version  int
-	trouble  bool
-	nextID   int
-	closed   sync.Once
+	mu        sync.Mutex
+	started   time.Time
+	record    *os.File
+	dir       string
+	store     *fake.Store
+	storeAt   string // address at which the gateways reach the store
+	cloud     *cloud
+	gateways  []*gateway
+	servers   []*server
+	processes []*streamServer
+	bounds    map[string]string // settings that differ from the defaults of defaultSettings
+	taken     map[string]bool   // addresses of machines
+	version   int
+	trouble   bool
+	nextID    int
+	closed    sync.Once
 }
 
 // newLab starts the platform's stand-ins. The record is written to the given folder.
@@ -97,6 +98,9 @@
 	for _, s := range l.servers {
 		s.close()
 	}
+	for _, s := range l.processes {
+		s.crash()
+	}
 	l.store.Close()
 	_ = l.record.Close()
 	_ = os.RemoveAll(l.dir)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -20,10 +20,14 @@
 	"usage":  playUsage,
 	"upload": playUpload,
 	"rest":   playRest,
-	"entry":  playEntry,
+	"order":  playOrder,
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == serveCase {
+		fmt.Fprintln(os.Stderr, serveStreams(os.Args[2], os.Args[3]))
+		os.Exit(exitNotTried)
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
 		os.Exit(exitNotTried)
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -76,14 +76,6 @@
 		"ColdRemainingMs": 0, "Sequence": s.sequence, "born": s.born}
 }
 
-// drain makes the server say that it is draining. The store has accepted that on return.
-func (s *server) drain() {
-	s.mu.Lock()
-	s.state = "draining"
-	s.mu.Unlock()
-	s.beat()
-}
-
 func (s *server) close() {
 	close(s.stopped)
 	_ = s.http.Close()
