--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -17,7 +17,6 @@
 	name, zone                       string
 	front, ready, control, directory string
 	path                             string // of the settings file
-	limits                           string // shell commands that set the limits of the process, or empty
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -51,9 +50,6 @@
 		return err
 	}
 	cmd := exec.Command("target/crank-gateway", "--settings", g.path)
-	if g.limits != "" {
-		cmd = exec.Command("bash", "-c", g.limits+` && exec "$0" "$@"`, "target/crank-gateway", "--settings", g.path)
-	}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,7 +19,6 @@
 	"stop":   playStop,
 	"usage":  playUsage,
 	"upload": playUpload,
-	"rest":   playRest,
 	"order":  playOrder,
 }
 
--- a/review/stand/usage.go
+++ b/review/stand/usage.go
@@ -8,7 +8,7 @@
 // Case usage: two machines are stopped and started in turn, with usage windows of usageWindow.
 const (
 	usageGrace   = 8 * time.Second
-	usageLength  = 100 * time.Second
+	usageLength  = 95 * time.Second
 	usageClients = 12
 	usagePause   = 300 * time.Millisecond
 	usageWork    = 20 * time.Millisecond
