--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of deploy/system.toml and review/build-2.sh first"
   exit 2
 fi
-exec target/review-stand stop review/6
+exec target/review-stand usage review/6
